--- /dev/null
+++ b/src/api.c
@@ -0,0 +1,241 @@
+/* The users' interface: every node serves it straight from the state service, whose reads and
+ * conditional writes are linearizable, so no node can give an older answer than another. */
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+#include "node.h"
+#include "wire.h"
+
+#define TRIES 4
+#define RETRY_AFTER_S 1
+
+enum op_kind { OP_SUBMIT, OP_QUERY, OP_CANCEL };
+
+/* Where a user's request stands. */
+enum op_state {
+    OP_READ_OPEN,  /* is the job open? */
+    OP_READ_OVER,  /* or over? */
+    OP_WRITE,      /* the submission's or the cancellation's transaction */
+    OP_ANSWERED
+};
+
+struct op {
+    struct rp_node *node;
+    struct rp_request *req;
+    enum op_kind kind;
+    enum op_state state;
+    char id[RP_ID_MAX];
+    struct rp_job_spec spec;
+    int refusal;        /* what a submission gets if its id isn't known: 400, 422, 503 or 0 */
+    char why[128];
+    uint64_t version;
+    unsigned tries;
+};
+
+static void op_next(struct op *op, enum op_state state);
+
+static void op_answer(struct op *op, int status, char *body, int retry_after) {
+    op->state = OP_ANSWERED;
+    op->node->n_answers[status / 100 < 6 ? status / 100 : 0]++;
+    op->req->respond(op->req, status, body ? body : "{}", retry_after);
+    free(body);
+    rp_job_spec_free(&op->spec);
+    free(op);
+}
+
+static void op_unavailable(struct op *op) {
+    op_answer(op, 503, rp_wire_error("not possible just now"), RETRY_AFTER_S);
+}
+
+static void op_status(struct op *op, int status, enum rp_job_word word) {
+    struct rp_job_status st = {.word = word};
+    strcpy(st.id, op->id);
+    if (word == RP_JOB_QUEUED && status == 200)
+        rp_node_display(op->node, &st);
+    op_answer(op, status, rp_wire_job_status(&st), 0);
+}
+
+static void op_unknown_job(struct op *op) {
+    if (op->kind != OP_SUBMIT)
+        op_answer(op, 404, rp_wire_error("no such job"), 0);
+    else if (op->refusal == 503)
+        op_unavailable(op);
+    else if (op->refusal)
+        op_answer(op, op->refusal, rp_wire_error(op->why), 0);
+    else
+        op_next(op, OP_WRITE);
+}
+
+static void over_read(void *arg, const struct rp_state_result *r) {
+    struct op *op = arg;
+    struct rp_item item;
+    enum rp_job_word word;
+    if (r->outcome == RP_STATE_MISSING)
+        op_unknown_job(op);
+    else if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item) &&
+             rp_record_over_read(item.value, &word))
+        op_status(op, 200, word);
+    else
+        op_unavailable(op);
+}
+
+static void open_read(void *arg, const struct rp_state_result *r) {
+    struct op *op = arg;
+    struct rp_item item;
+    if (r->outcome == RP_STATE_MISSING) {
+        op_next(op, OP_READ_OVER);
+    } else if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item)) {
+        op->version = item.version;
+        if (op->kind == OP_CANCEL)
+            op_next(op, OP_WRITE);
+        else
+            op_status(op, 200, RP_JOB_QUEUED);
+    } else {
+        op_unavailable(op);
+    }
+}
+
+static void written(void *arg, const struct rp_state_result *r) {
+    struct op *op = arg;
+    if (r->outcome == RP_STATE_OK) {
+        if (op->kind == OP_SUBMIT) {
+            op->node->n_accepted++;
+            rp_debug("job %s accepted", op->id);
+            op_status(op, 201, RP_JOB_QUEUED);
+        } else {
+            rp_info("job %s cancelled by its user", op->id);
+            op_status(op, 200, RP_JOB_CANCELLED);
+        }
+        return;
+    }
+    /* A conflict: the job is known, or has changed meanwhile. No answer: only a look tells
+     * whether the write was carried out; if it was not, it still may be, and writing again is
+     * harmless since both carry the same conditions. */
+    if ((r->outcome == RP_STATE_CONFLICT || r->outcome == RP_STATE_UNKNOWN) && ++op->tries < TRIES)
+        op_next(op, OP_READ_OPEN);
+    else
+        op_unavailable(op);
+}
+
+static void write_submission(struct op *op) {
+    struct timespec wall;
+    char open[RP_KEY_MAX], over[RP_KEY_MAX];
+    json_t *txn = rp_wire_txn();
+    clock_gettime(CLOCK_REALTIME, &wall);
+    rp_key(open, RP_KEY_OPEN, op->id);
+    rp_key(over, RP_KEY_OVER, op->id);
+    rp_wire_txn_if(txn, open, 0);
+    rp_wire_txn_if(txn, over, 0);
+    rp_wire_txn_put(txn, open, rp_record_open(&op->spec, wall), 0);
+    rp_state_txn(&op->node->state, RP_SHARE_USERS, txn, written, op);
+}
+
+static void write_cancellation(struct op *op) {
+    char open[RP_KEY_MAX], over[RP_KEY_MAX];
+    json_t *txn = rp_wire_txn();
+    rp_key(open, RP_KEY_OPEN, op->id);
+    rp_key(over, RP_KEY_OVER, op->id);
+    rp_wire_txn_if(txn, open, op->version);
+    rp_wire_txn_delete(txn, open);
+    rp_wire_txn_put(txn, over, rp_record_over(RP_JOB_CANCELLED), 0);
+    rp_state_txn(&op->node->state, RP_SHARE_USERS, txn, written, op);
+}
+
+/* The one place where a request changes its state. */
+static void op_next(struct op *op, enum op_state state) {
+    char key[RP_KEY_MAX];
+    op->state = state;
+    switch (state) {
+    case OP_READ_OPEN:
+        rp_key(key, RP_KEY_OPEN, op->id);
+        rp_state_get(&op->node->state, RP_SHARE_USERS, key, open_read, op);
+        break;
+    case OP_READ_OVER:
+        rp_key(key, RP_KEY_OVER, op->id);
+        rp_state_get(&op->node->state, RP_SHARE_USERS, key, over_read, op);
+        break;
+    case OP_WRITE:
+        if (op->kind == OP_SUBMIT)
+            write_submission(op);
+        else
+            write_cancellation(op);
+        break;
+    case OP_ANSWERED:
+        break;
+    }
+}
+
+static struct op *op_new(struct rp_node *n, struct rp_request *req, enum op_kind kind) {
+    struct op *op = calloc(1, sizeof *op);
+    if (!op) {
+        req->respond(req, 503, "{}", RETRY_AFTER_S);
+        return NULL;
+    }
+    op->node = n;
+    op->req = req;
+    op->kind = kind;
+    return op;
+}
+
+/* 422, 503 or 0. */
+static int judge(const struct rp_node *n, const struct rp_job_spec *spec, char why[128]) {
+    int index = rp_settings_team(n->settings, spec->team);
+    bool fits = false;
+    double tasks = spec->kind == RP_GANG ? spec->n_tasks : 1;
+    if (index < 0) {
+        strcpy(why, "unknown team");
+        return 422;
+    }
+    if (!n->catalog_known) {
+        strcpy(why, "machine types are not known yet");
+        return 503;
+    }
+    for (size_t t = 0; t < n->catalog.n_types; t++)
+        for (size_t z = 0; z < n->catalog.n_zones; z++)
+            fits |= (n->catalog.types[t].zones >> z & 1) &&
+                    rp_picture_allows(&n->picture, spec, (int)t, (int)z, false);
+    if (!fits) {
+        strcpy(why, "a task fits no allowed machine type");
+        return 422;
+    }
+    const struct rp_team *team = &n->settings->teams[index];
+    if ((team->cpus_max > 0 && tasks * spec->each.cpus > team->cpus_max + 1e-9) ||
+        (team->gpus_max > 0 && tasks * spec->each.gpus > team->gpus_max + 1e-9)) {
+        strcpy(why, "needs more than the team's limit");
+        return 422;
+    }
+    return 0;
+}
+
+void rp_api_submit(struct rp_node *n, struct rp_request *req) {
+    struct op *op = op_new(n, req, OP_SUBMIT);
+    if (!op)
+        return;
+    if (!rp_wire_submission_id(req->body, req->len, op->id)) {
+        strcpy(op->why, "not a JSON object with a valid id");
+        op_answer(op, 400, rp_wire_error(op->why), 0);
+        return;
+    }
+    if (!rp_wire_submission(req->body, req->len, &op->spec, op->why))
+        op->refusal = 400;
+    else
+        op->refusal = judge(n, &op->spec, op->why);
+    /* A known job is answered before anything is found wrong with the rest of the request. */
+    op_next(op, op->refusal ? OP_READ_OPEN : OP_WRITE);
+}
+
+void rp_api_query(struct rp_node *n, struct rp_request *req, const char *id) {
+    struct op *op = op_new(n, req, OP_QUERY);
+    if (!op)
+        return;
+    strcpy(op->id, id);
+    op_next(op, OP_READ_OPEN);
+}
+
+void rp_api_cancel(struct rp_node *n, struct rp_request *req, const char *id) {
+    struct op *op = op_new(n, req, OP_CANCEL);
+    if (!op)
+        return;
+    strcpy(op->id, id);
+    op_next(op, OP_READ_OPEN);
+}
--- /dev/null
+++ b/src/election.c
@@ -0,0 +1,181 @@
+#include "election.h"
+
+#include <stdio.h>
+#include <string.h>
+#include "log.h"
+#include "records.h"
+#include "wire.h"
+
+/* The steady clock may run 0.05% fast against the service's: four times that, and a little for
+ * the clock's steps and a turn that ends between the check and the sending. */
+#define DRIFT 0.002
+#define MARGIN_S 0.15
+#define RETRY_S 0.25
+
+static void tick(void *arg);
+
+void rp_election_init(struct rp_election *e, struct rp_loop *loop, struct rp_state_client *state,
+                      const char *node, double ttl_s, double check_s, rp_election_fn on_elected,
+                      rp_election_fn on_lost, void *arg) {
+    memset(e, 0, sizeof *e);
+    e->loop = loop;
+    e->state = state;
+    e->node = node;
+    e->ttl_s = ttl_s;
+    e->check_s = check_s;
+    e->on_elected = on_elected;
+    e->on_lost = on_lost;
+    e->arg = arg;
+    e->timer = (struct rp_timer){.fn = tick, .arg = e};
+}
+
+struct timespec rp_election_trust(struct timespec sent, double ttl_s) {
+    return rp_ts_after(sent, ttl_s * (1.0 - DRIFT) - MARGIN_S);
+}
+
+bool rp_election_valid(const struct rp_election *e, struct timespec now) {
+    return e->at == RP_HOLDING && !rp_ts_reached(now, e->valid_until);
+}
+
+void rp_election_guard(const struct rp_election *e, json_t *txn) {
+    rp_wire_txn_if(txn, RP_KEY_LEADER, e->token);
+}
+
+/* The one place where the election changes its state. */
+static void enter(struct rp_election *e, enum rp_election_state at) {
+    enum rp_election_state was = e->at;
+    e->at = at;
+    if (was == RP_HOLDING && at != RP_HOLDING) {
+        rp_info("leadership lost, token=%llu", (unsigned long long)e->token);
+        e->token = 0;
+        rp_log_term(0);
+        e->on_lost(e->arg);
+    }
+    if (at == RP_HOLDING && was != RP_HOLDING) {
+        snprintf(e->leader, sizeof e->leader, "%s", e->node);
+        rp_log_term(e->token);
+        rp_info("leadership taken, token=%llu lease=%llu", (unsigned long long)e->token,
+                (unsigned long long)e->lease);
+        e->on_elected(e->arg);
+    }
+}
+
+static void follow_again(struct rp_election *e, double after_s) {
+    enter(e, RP_FOLLOWING);
+    rp_timer_set(e->loop, &e->timer, after_s);
+}
+
+static void dropped(void *arg, const struct rp_state_result *r) {
+    (void)arg;
+    (void)r;
+}
+
+static void claimed(void *arg, const struct rp_state_result *r) {
+    struct rp_election *e = arg;
+    if (r->outcome == RP_STATE_OK) {
+        e->token = rp_wire_revision(r->body);
+        e->valid_until = rp_election_trust(e->asked, e->ttl_s);
+        enter(e, RP_HOLDING);
+        rp_timer_set(e->loop, &e->timer, e->ttl_s / 8);
+        return;
+    }
+    /* An unanswered claim may still hold: the next look shows our own name, and a holder of our
+     * name that isn't us now is claimed over. */
+    if (r->outcome == RP_STATE_CONFLICT)
+        rp_state_lease_end(e->state, e->lease, dropped, NULL);
+    follow_again(e, RETRY_S);
+}
+
+static void leased(void *arg, const struct rp_state_result *r) {
+    struct rp_election *e = arg;
+    if (r->outcome != RP_STATE_OK || !rp_wire_lease(r->body)) {
+        follow_again(e, RETRY_S);
+        return;
+    }
+    e->lease = rp_wire_lease(r->body);
+    json_t *txn = rp_wire_txn();
+    rp_wire_txn_if(txn, RP_KEY_LEADER, e->claim_over);
+    rp_wire_txn_put(txn, RP_KEY_LEADER, rp_record_leader(e->node), e->lease);
+    enter(e, RP_CLAIMING);
+    rp_state_txn(e->state, RP_SHARE_LEADERSHIP, txn, claimed, e);
+}
+
+static void claim(struct rp_election *e, uint64_t over) {
+    e->claim_over = over;
+    e->asked = rp_loop_now(e->loop);
+    enter(e, RP_LEASING);
+    rp_state_lease(e->state, e->ttl_s, leased, e);
+}
+
+static void looked(void *arg, const struct rp_state_result *r) {
+    struct rp_election *e = arg;
+    struct rp_item item;
+    if (r->outcome == RP_STATE_MISSING) {
+        e->leader[0] = '\0';
+        claim(e, 0);
+        return;
+    }
+    if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item)) {
+        const char *node = rp_record_leader_read(item.value);
+        if (node && strcmp(node, e->node) == 0) {
+            /* Our own name, though we don't hold: an earlier process of this node, which has
+             * ended, or a claim whose answer was lost. Nobody acts on it, so there is no need to
+             * wait for its lease. */
+            claim(e, item.version);
+            return;
+        }
+        snprintf(e->leader, sizeof e->leader, "%s", node ? node : "");
+    }
+    rp_timer_set(e->loop, &e->timer, r->outcome == RP_STATE_OK ? e->check_s : RETRY_S);
+}
+
+static void touched(void *arg, const struct rp_state_result *r) {
+    struct rp_election *e = arg;
+    if (e->at != RP_HOLDING)
+        return;
+    if (r->outcome == RP_STATE_MISSING) {
+        follow_again(e, 0);
+        return;
+    }
+    if (r->outcome == RP_STATE_OK) {
+        /* While the lease lives, the key is attached to it and nobody else can have written it:
+         * leadership goes on even if it could not be proven for a while. */
+        e->valid_until = rp_election_trust(e->asked, e->ttl_s);
+        rp_timer_set(e->loop, &e->timer, e->ttl_s / 8);
+        return;
+    }
+    rp_timer_set(e->loop, &e->timer, RETRY_S);
+}
+
+static void doubted(void *arg, const struct rp_state_result *r) {
+    struct rp_election *e = arg;
+    struct rp_item item;
+    if (e->at != RP_HOLDING)
+        return;
+    if (r->outcome == RP_STATE_MISSING ||
+        (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item) && item.version != e->token))
+        follow_again(e, 0);
+}
+
+void rp_election_doubt(struct rp_election *e) {
+    if (e->at == RP_HOLDING)
+        rp_state_get(e->state, RP_SHARE_LEADERSHIP, RP_KEY_LEADER, doubted, e);
+}
+
+static void tick(void *arg) {
+    struct rp_election *e = arg;
+    if (e->at == RP_HOLDING) {
+        e->asked = rp_loop_now(e->loop);
+        rp_state_touch(e->state, e->lease, touched, e);
+    } else if (e->at == RP_FOLLOWING) {
+        rp_state_get(e->state, RP_SHARE_LEADERSHIP, RP_KEY_LEADER, looked, e);
+    }
+}
+
+void rp_election_start(struct rp_election *e) {
+    rp_timer_set(e->loop, &e->timer, 0);
+}
+
+void rp_election_stop(struct rp_election *e) {
+    rp_timer_cancel(e->loop, &e->timer);
+}
--- /dev/null
+++ b/src/election.h
@@ -0,0 +1,47 @@
+/* Who leads: a key on a lease of the state service. The token is the revision of the key's write,
+ * so it grows with each change of leader, and every write of a leader carries the condition that
+ * the key still has that revision. */
+#ifndef RP_ELECTION_H
+#define RP_ELECTION_H
+
+#include "state_client.h"
+
+enum rp_election_state {
+    RP_FOLLOWING, /* looks at the key now and then */
+    RP_LEASING,   /* the key is free: a lease has been asked for */
+    RP_CLAIMING,  /* the key's write is on its way */
+    RP_HOLDING    /* the key is ours; whether we may act is rp_election_valid */
+};
+
+typedef void (*rp_election_fn)(void *arg);
+
+struct rp_election {
+    struct rp_loop *loop;
+    struct rp_state_client *state;
+    const char *node;
+    double ttl_s, check_s;
+    enum rp_election_state at;
+    uint64_t token, lease, claim_over;
+    struct timespec valid_until; /* on the steady clock, margins taken off */
+    struct timespec asked;       /* when the request under way was sent */
+    char leader[64];             /* who held the key when we last looked, "" for nobody */
+    struct rp_timer timer;
+    rp_election_fn on_elected, on_lost;
+    void *arg;
+};
+
+void rp_election_init(struct rp_election *e, struct rp_loop *loop, struct rp_state_client *state,
+                      const char *node, double ttl_s, double check_s, rp_election_fn on_elected,
+                      rp_election_fn on_lost, void *arg);
+void rp_election_start(struct rp_election *e);
+void rp_election_stop(struct rp_election *e);
+/* To be asked immediately before every answer or command that needs leadership. */
+bool rp_election_valid(const struct rp_election *e, struct timespec now);
+/* Until when a lease may be trusted that was asked for, or touched, at `sent`. */
+struct timespec rp_election_trust(struct timespec sent, double ttl_s);
+/* The condition that makes a leader's late transactions die. */
+void rp_election_guard(const struct rp_election *e, json_t *txn);
+/* Somebody shows a token above ours, or a guarded write failed: look at the key now. */
+void rp_election_doubt(struct rp_election *e);
+
+#endif
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,707 @@
+#include "fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+#include "wire.h"
+#include "workers.h"
+
+#define TICK_S 0.5
+#define LIST_PAGE 500
+#define DELETE_MAX 100
+#define NEWS_MAX_S 9.0
+#define LOST_GRACE_S 8.0 /* a machine that lost its lease through our absence comes back by then */
+
+struct request {
+    struct rp_fleet *f;
+    unsigned long generation;
+    char rental[RP_TEXT_MAX];
+    enum rp_rental_state wrote; /* the rental's state when its record was written */
+    size_t n;
+    char (*names)[RP_TEXT_MAX];
+};
+
+static struct request *request_new(struct rp_fleet *f, const char *rental) {
+    struct request *r = calloc(1, sizeof *r);
+    if (!r)
+        abort(); /* out of memory: a restart is the honest answer */
+    r->f = f;
+    r->generation = f->generation;
+    if (rental)
+        snprintf(r->rental, sizeof r->rental, "%s", rental);
+    return r;
+}
+
+static void request_free(struct request *r) {
+    free(r->names);
+    free(r);
+}
+
+static bool request_current(const struct request *r) {
+    return r->generation == r->f->generation;
+}
+
+static void tick(void *arg);
+static void rental_step(struct rp_fleet *f, struct rp_rental *rental);
+
+void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
+                   struct rp_state_client *state, struct rp_election *election,
+                   struct rp_picture *picture, struct rp_jobs *jobs,
+                   const struct rp_settings *settings, struct rp_catalog *catalog) {
+    memset(f, 0, sizeof *f);
+    f->loop = loop;
+    f->cloud = cloud;
+    f->state = state;
+    f->election = election;
+    f->picture = picture;
+    f->jobs = jobs;
+    f->settings = settings;
+    f->catalog = catalog;
+    f->timer = (struct rp_timer){.fn = tick, .arg = f};
+}
+
+bool rp_fleet_news_fresh(const struct rp_jobs *jobs) {
+    return rp_jobs_stale_s(jobs) < NEWS_MAX_S;
+}
+
+double rp_fleet_price(const struct rp_catalog *c, int type, bool spot) {
+    return spot ? c->types[type].spot_price : c->types[type].price;
+}
+
+static int type_index(const struct rp_catalog *c, const char *name) {
+    for (size_t i = 0; i < c->n_types; i++)
+        if (strcmp(c->types[i].name, name) == 0)
+            return (int)i;
+    return -1;
+}
+
+static int zone_index(const struct rp_catalog *c, const char *name) {
+    for (size_t i = 0; i < c->n_zones; i++)
+        if (strcmp(c->zones[i], name) == 0)
+            return (int)i;
+    return -1;
+}
+
+void rp_fleet_describe(struct rp_fleet *f, struct rp_machine *m, const char *type,
+                       const char *zone, bool spot) {
+    /* A zone never changes under a machine's tasks: they are counted by it. */
+    if (m->type >= 0 && m->zone >= 0)
+        return;
+    if (m->n_places > 0)
+        return;
+    m->type = type_index(f->catalog, type);
+    m->zone = zone_index(f->catalog, zone);
+    m->spot = spot;
+}
+
+/* ---- rentals ---- */
+
+static struct rp_rental *rental_find(const struct rp_fleet *f, const char *name) {
+    struct rp_rental *r = f->rentals;
+    while (r && strcmp(r->name, name) != 0)
+        r = r->next;
+    return r;
+}
+
+static struct rp_rental *rental_add(struct rp_fleet *f, const char *name) {
+    struct rp_rental *r = calloc(1, sizeof *r);
+    if (!r)
+        abort();
+    snprintf(r->name, sizeof r->name, "%s", name);
+    r->next = f->rentals;
+    f->rentals = r;
+    return r;
+}
+
+static void rental_free(struct rp_fleet *f, struct rp_rental *rental) {
+    struct rp_rental **at = &f->rentals;
+    while (*at != rental)
+        at = &(*at)->next;
+    *at = rental->next;
+    free(rental);
+}
+
+/* The one place where a rental changes its state. */
+static void rental_enter(struct rp_fleet *f, struct rp_rental *rental,
+                         enum rp_rental_state state) {
+    rental->state = state;
+    rental->retry = (struct timespec){0};
+    if (state == RP_RENTAL_LIVE) {
+        for (struct rp_machine *m = f->picture->first; m; m = m->next)
+            if (m->rental == rental)
+                m->recorded = true;
+        if (f->on_changed)
+            f->on_changed(f->arg);
+    }
+}
+
+static void rental_later(struct rp_fleet *f, struct rp_rental *rental, double after_s) {
+    rental->retry = rp_ts_after(rp_loop_now(f->loop), after_s);
+}
+
+static size_t rental_names(const struct rp_fleet *f, const struct rp_rental *rental,
+                           const char **names, size_t max) {
+    size_t n = 0;
+    for (const struct rp_machine *m = f->picture->first; m && n < max; m = m->next)
+        if (m->rental == rental)
+            names[n++] = m->name;
+    return n;
+}
+
+static void rental_written(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    struct rp_rental *rental = request_current(r) ? rental_find(f, r->rental) : NULL;
+    enum rp_rental_state wrote = r->wrote;
+    request_free(r);
+    if (!rental)
+        return;
+    rental->busy = false;
+    if (result->outcome == RP_STATE_CONFLICT &&
+        rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
+        rp_election_doubt(f->election);
+        rental_later(f, rental, 1);
+        return;
+    }
+    /* The intent is written on condition that there is none, so that a copy of the write which
+     * arrives late can't wipe out the names: a conflict means that an earlier try went through. */
+    bool ok = result->outcome == RP_STATE_OK ||
+              (result->outcome == RP_STATE_CONFLICT && wrote == RP_RENTAL_WRITING);
+    if (!ok) {
+        rental->changed = true;
+        rental_later(f, rental, 0.3);
+        return;
+    }
+    if (wrote == RP_RENTAL_ENDED) {
+        rental_free(f, rental);
+        return;
+    }
+    rental->stored = true;
+    /* The state may have moved on while the write was under way: its machines can be gone. */
+    if (wrote == RP_RENTAL_WRITING && rental->state == wrote)
+        rental_enter(f, rental, RP_RENTAL_ASKING);
+    else if (wrote == RP_RENTAL_RECORDING && rental->state == wrote)
+        rental_enter(f, rental, RP_RENTAL_LIVE);
+    rental_step(f, rental);
+}
+
+static void rental_write(struct rp_fleet *f, struct rp_rental *rental) {
+    const char *names[64];
+    char key[RP_KEY_MAX];
+    json_t *txn = rp_wire_txn();
+    rp_key(key, RP_KEY_RENTAL, rental->name);
+    rp_election_guard(f->election, txn);
+    if (rental->state == RP_RENTAL_WRITING)
+        rp_wire_txn_if(txn, key, 0);
+    if (rental->state == RP_RENTAL_ENDED) {
+        rp_wire_txn_delete(txn, key);
+    } else {
+        size_t n = rental_names(f, rental, names, 64);
+        rp_wire_txn_put(txn, key, rp_record_rental(&rental->record, names, n), 0);
+    }
+    struct request *r = request_new(f, rental->name);
+    r->wrote = rental->state;
+    rental->busy = true;
+    rental->changed = false;
+    rp_state_txn(f->state, RP_SHARE_LEADER, txn, rental_written, r);
+}
+
+static void refuse(struct rp_fleet *f, const struct rp_rental *rental) {
+    int type = type_index(f->catalog, rental->record.type);
+    int zone = zone_index(f->catalog, rental->record.zone);
+    struct timespec now = rp_loop_now(f->loop);
+    struct rp_refusal *found = NULL;
+    for (size_t i = 0; i < f->n_refusals; i++)
+        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
+            f->refusals[i].spot == rental->record.spot)
+            found = &f->refusals[i];
+    if (!found) {
+        if (f->n_refusals == RP_REFUSALS_MAX)
+            return;
+        found = &f->refusals[f->n_refusals++];
+        *found = (struct rp_refusal){.type = type, .zone = zone, .spot = rental->record.spot};
+    }
+    found->pause_s = f->settings->tuning.refused_pause_s;
+    found->until = rp_ts_after(now, found->pause_s);
+    f->n_refused++;
+    rp_debug("kind %s/%s%s refused for lack of capacity", rental->record.type, rental->record.zone,
+             rental->record.spot ? " (spot)" : "");
+}
+
+bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot) {
+    struct timespec now = rp_loop_now(f->loop);
+    for (size_t i = 0; i < f->n_refusals; i++)
+        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
+            f->refusals[i].spot == spot)
+            return !rp_ts_reached(now, f->refusals[i].until);
+    return false;
+}
+
+static void rented(struct rp_fleet *f, struct rp_rental *rental, const struct rp_answer *answer) {
+    size_t n;
+    char(*names)[RP_TEXT_MAX] = rp_wire_rented(answer->body, answer->len, &n);
+    if (!names) {
+        rental_later(f, rental, 1);
+        return;
+    }
+    rental->record.answered = true;
+    for (size_t i = 0; i < n; i++) {
+        struct rp_machine *m = rp_machine_find(f->picture, names[i]);
+        if ((m && m->rental) || rp_fleet_gone(f, names[i]))
+            continue;
+        if (!m)
+            m = rp_machine_add(f->picture, names[i], RP_MACHINE_BOOTING);
+        m->rental = rental;
+        rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
+    }
+    f->n_rented += n;
+    rp_info("rented %zu of %u %s in %s%s, request=%s", n, rental->record.count,
+            rental->record.type, rental->record.zone, rental->record.spot ? " (spot)" : "",
+            rental->name);
+    if (n < rental->record.count)
+        refuse(f, rental);
+    free(names);
+    rental_enter(f, rental, n ? RP_RENTAL_RECORDING : RP_RENTAL_ENDED);
+    rental_step(f, rental);
+    if (f->on_changed)
+        f->on_changed(f->arg);
+}
+
+static void rental_answered(void *arg, const struct rp_answer *answer) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    struct rp_rental *rental = request_current(r) ? rental_find(f, r->rental) : NULL;
+    request_free(r);
+    if (!rental || rental->state != RP_RENTAL_ASKING)
+        return;
+    rental->busy = false;
+    if (answer->status == 200) {
+        rented(f, rental, answer);
+    } else if (answer->status == 503 && rp_wire_no_capacity(answer->body, answer->len)) {
+        refuse(f, rental);
+        rental_enter(f, rental, RP_RENTAL_ENDED);
+        rental_step(f, rental);
+        if (f->on_changed)
+            f->on_changed(f->arg);
+    } else if (answer->status == 400) {
+        rp_error("the cloud refused request %s: %.200s", rental->name, answer->body);
+        rental_enter(f, rental, RP_RENTAL_ENDED);
+        rental_step(f, rental);
+    } else {
+        /* It may have been carried out: only the same name again tells. */
+        rental_later(f, rental, answer->status == 429 ? 0.5 : 1);
+    }
+}
+
+static void rental_ask(struct rp_fleet *f, struct rp_rental *rental) {
+    const struct rp_rental_record *rec = &rental->record;
+    rental->busy = true;
+    rp_cloud_call(f->cloud, RP_CLOUD_URGENT, "POST", RP_PATH_MACHINES,
+                  rp_wire_rent(rental->name, rec->type, rec->zone, rec->spot, rec->count),
+                  rental_answered, request_new(f, rental->name));
+}
+
+/* Does what the rental's state asks for, unless something is under way or has to wait. */
+static void rental_step(struct rp_fleet *f, struct rp_rental *rental) {
+    struct timespec now = rp_loop_now(f->loop);
+    if (rental->busy || !rp_ts_reached(now, rental->retry) ||
+        !rp_election_valid(f->election, now))
+        return;
+    switch (rental->state) {
+    case RP_RENTAL_WRITING:
+    case RP_RENTAL_RECORDING:
+        rental_write(f, rental);
+        break;
+    case RP_RENTAL_ASKING:
+        rental_ask(f, rental);
+        break;
+    case RP_RENTAL_LIVE:
+        if (rental->changed)
+            rental_write(f, rental);
+        break;
+    case RP_RENTAL_ENDED:
+        if (rental->stored)
+            rental_write(f, rental);
+        else
+            rental_free(f, rental);
+        break;
+    }
+}
+
+void rp_fleet_rent(struct rp_fleet *f, int type, int zone, bool spot, unsigned count) {
+    char name[RP_TEXT_MAX];
+    snprintf(name, sizeof name, "r-%llu-%lu", (unsigned long long)f->election->token,
+             ++f->next_name);
+    struct rp_rental *rental = rental_add(f, name);
+    strcpy(rental->record.type, f->catalog->types[type].name);
+    strcpy(rental->record.zone, f->catalog->zones[zone]);
+    rental->record.spot = spot;
+    rental->record.count = count;
+    clock_gettime(CLOCK_REALTIME, &rental->record.asked);
+    rental_enter(f, rental, RP_RENTAL_WRITING);
+    rental_step(f, rental);
+}
+
+unsigned rp_fleet_pending(const struct rp_fleet *f, int type, int zone, bool spot) {
+    unsigned n = 0;
+    for (const struct rp_rental *r = f->rentals; r; r = r->next)
+        if ((r->state == RP_RENTAL_WRITING || r->state == RP_RENTAL_ASKING) &&
+            r->record.spot == spot && type_index(f->catalog, r->record.type) == type &&
+            zone_index(f->catalog, r->record.zone) == zone)
+            n += r->record.count;
+    return n;
+}
+
+void rp_fleet_adopt(struct rp_fleet *f, struct rp_machine *m) {
+    char name[RP_TEXT_MAX + 8];
+    if (m->rental || m->type < 0 || m->zone < 0)
+        return;
+    snprintf(name, sizeof name, "a-%s", m->name);
+    if (strlen(name) >= RP_TEXT_MAX || rental_find(f, name))
+        return;
+    struct rp_rental *rental = rental_add(f, name);
+    strcpy(rental->record.type, f->catalog->types[m->type].name);
+    strcpy(rental->record.zone, f->catalog->zones[m->zone]);
+    rental->record.spot = m->spot;
+    rental->record.count = 1;
+    rental->record.answered = true;
+    clock_gettime(CLOCK_REALTIME, &rental->record.asked);
+    m->rental = rental;
+    rental_enter(f, rental, RP_RENTAL_RECORDING);
+    rental_step(f, rental);
+}
+
+/* ---- returning ---- */
+
+bool rp_fleet_gone(const struct rp_fleet *f, const char *machine) {
+    size_t n = f->n_gone < RP_GONE_KEPT ? f->n_gone : RP_GONE_KEPT;
+    for (size_t i = 0; i < n; i++)
+        if (strcmp(f->gone[i], machine) == 0)
+            return true;
+    return false;
+}
+
+/* The machine is certainly gone. */
+static void machine_gone(struct rp_fleet *f, struct rp_machine *m) {
+    struct rp_rental *rental = m->rental;
+    snprintf(f->gone[f->n_gone++ % RP_GONE_KEPT], RP_TEXT_MAX, "%s", m->name);
+    rp_machine_remove(f->picture, m);
+    if (!rental)
+        return;
+    const char *names[1];
+    if (rental_names(f, rental, names, 1) == 0 &&
+        (rental->state == RP_RENTAL_LIVE || rental->state == RP_RENTAL_RECORDING))
+        rental_enter(f, rental, RP_RENTAL_ENDED);
+    else
+        rental->changed = true;
+}
+
+static void deleted(void *arg, const struct rp_answer *answer) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    if (!request_current(r))
+        goto out;
+    f->deleting = false;
+    for (size_t i = 0; i < r->n; i++) {
+        struct rp_machine *m = rp_machine_find(f->picture, r->names[i]);
+        if (!m)
+            continue;
+        m->delete_sent = false;
+        if (answer->status != 200)
+            continue; /* asked again by the tick */
+        f->n_returned++;
+        machine_gone(f, m);
+    }
+    if (answer->status == 200 && f->on_changed)
+        f->on_changed(f->arg);
+out:
+    request_free(r);
+}
+
+static void delete_some(struct rp_fleet *f) {
+    const char *names[DELETE_MAX];
+    size_t n = 0;
+    if (f->deleting || !rp_election_valid(f->election, rp_loop_now(f->loop)))
+        return;
+    for (struct rp_machine *m = f->picture->first; m && n < DELETE_MAX; m = m->next)
+        if (m->state == RP_MACHINE_RETURNING && !m->delete_sent) {
+            m->delete_sent = true;
+            names[n++] = m->name;
+        }
+    if (n == 0)
+        return;
+    struct request *r = request_new(f, NULL);
+    r->names = calloc(n, sizeof *r->names);
+    if (!r->names)
+        abort();
+    for (size_t i = 0; i < n; i++)
+        strcpy(r->names[i], names[i]);
+    r->n = n;
+    f->deleting = true;
+    rp_cloud_call(f->cloud, RP_CLOUD_URGENT, "POST", RP_PATH_DELETE, rp_wire_delete(names, n),
+                  deleted, r);
+}
+
+void rp_fleet_return(struct rp_fleet *f, struct rp_machine *m, const char *why) {
+    if (m->state == RP_MACHINE_RETURNING)
+        return;
+    rp_info("machine %s goes back: %s, rented %.0fs ago", m->name, why,
+            rp_ts_since(rp_loop_now(f->loop), m->rented));
+    rp_machine_enter(f->picture, m, RP_MACHINE_RETURNING);
+    delete_some(f);
+}
+
+/* ---- the cloud's list ---- */
+
+static void list_entry(struct rp_fleet *f, const struct rp_listed *l) {
+    struct rp_machine *m = rp_machine_find(f->picture, l->machine);
+    struct timespec now = rp_loop_now(f->loop);
+    if (!m && rp_fleet_gone(f, l->machine))
+        return;
+    if (!m) {
+        /* A machine just returned is listed a while longer; a real stray stays. It is adopted once
+         * it reports, or returned if it is in no rental under way for long. */
+        if (l->age_s > 4 * f->settings->list_lag_s + 60 &&
+            rp_ts_since(now, f->led_since) > 30 && l->state != RP_LISTED_FAILED) {
+            m = rp_machine_add(f->picture, l->machine, RP_MACHINE_BOOTING);
+            rp_fleet_describe(f, m, l->type, l->zone, l->spot);
+            m->rented = rp_ts_sub(now, rp_ts(l->age_s));
+            rp_fleet_adopt(f, m);
+        }
+        return;
+    }
+    m->listed = true;
+    m->list_missing = 0;
+    m->listed_failed = l->state == RP_LISTED_FAILED;
+    rp_fleet_describe(f, m, l->type, l->zone, l->spot);
+    /* The age at the list's time bounds the rental's time from below. */
+    struct timespec rented = rp_ts_sub(now, rp_ts(l->age_s + f->settings->list_lag_s));
+    if (m->state != RP_MACHINE_BOOTING && rp_ts_cmp(rented, m->rented) < 0 &&
+        rp_ts_since(m->rented, rented) > 3 * f->settings->list_lag_s + 2)
+        m->rented = rented;
+}
+
+static bool silent(const struct rp_fleet *f, const struct rp_machine *m) {
+    return m->state != RP_MACHINE_BOOTING &&
+           rp_ts_since(rp_loop_now(f->loop), m->last_report) > 1.5 * f->settings->report_s + 0.5;
+}
+
+static void list_ended(struct rp_fleet *f) {
+    struct timespec now = rp_loop_now(f->loop);
+    for (struct rp_machine *m = f->picture->first; m; m = m->next) {
+        /* A machine once listed stays listed until it is gone, but lists come out of order: two
+         * in a row must lack it, and the deletion's answer makes it certain. */
+        bool missing = m->listed && ++m->list_missing > 2 &&
+                       rp_ts_since(now, m->rented) > 4 * f->settings->list_lag_s + 5;
+        if (m->listed_failed)
+            rp_fleet_return(f, m, "failed by the cloud's list");
+        else if (missing && (m->state == RP_MACHINE_BOOTING || silent(f, m)))
+            rp_fleet_return(f, m, "gone by the cloud's list");
+    }
+}
+
+static void list_page(struct rp_fleet *f);
+
+static void listed(void *arg, const struct rp_answer *answer) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    bool more = false;
+    size_t n = 0;
+    if (!request_current(r))
+        goto out;
+    f->listing = false;
+    if (answer->status != 200)
+        goto out;
+    struct rp_listed *list = rp_wire_listed(answer->body, answer->len, &n, &more);
+    for (size_t i = 0; list && i < n; i++)
+        list_entry(f, &list[i]);
+    if (list && n > 0)
+        strcpy(f->list_after, list[n - 1].machine);
+    free(list);
+    if (more && n > 0)
+        list_page(f);
+    else
+        list_ended(f);
+out:
+    request_free(r);
+}
+
+static void list_page(struct rp_fleet *f) {
+    char target[RP_TEXT_MAX + 64];
+    if (*f->list_after)
+        snprintf(target, sizeof target, "%s?from=%s&limit=%d", RP_PATH_MACHINES, f->list_after,
+                 LIST_PAGE);
+    else
+        snprintf(target, sizeof target, "%s?limit=%d", RP_PATH_MACHINES, LIST_PAGE);
+    f->listing = true;
+    rp_cloud_call(f->cloud, RP_CLOUD_ROUTINE, "GET", target, NULL, listed, request_new(f, NULL));
+}
+
+static void list_again(struct rp_fleet *f) {
+    struct timespec now = rp_loop_now(f->loop);
+    if (f->listing || !rp_ts_reached(now, f->next_list))
+        return;
+    bool any_silent = false;
+    for (const struct rp_machine *m = f->picture->first; m; m = m->next)
+        any_silent |= silent(f, m);
+    f->next_list = rp_ts_after(now, any_silent ? 1.5 : 4);
+    f->list_after[0] = '\0';
+    list_page(f);
+}
+
+static void catalog_came(void *arg, const struct rp_answer *answer) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    struct rp_catalog *fresh = calloc(1, sizeof *fresh);
+    if (fresh && request_current(r) && answer->status == 200 &&
+        rp_wire_catalog(answer->body, answer->len, fresh))
+        /* Types keep their places, which machines refer to: only prices are taken over. */
+        for (size_t i = 0; i < fresh->n_types; i++) {
+            int at = type_index(f->catalog, fresh->types[i].name);
+            if (at < 0)
+                continue;
+            f->catalog->types[at].price = fresh->types[i].price;
+            f->catalog->types[at].spot_price = fresh->types[i].spot_price;
+        }
+    free(fresh);
+    request_free(r);
+}
+
+static void catalog_again(struct rp_fleet *f) {
+    struct timespec now = rp_loop_now(f->loop);
+    if (!rp_ts_reached(now, f->next_catalog))
+        return;
+    f->next_catalog = rp_ts_after(now, 30);
+    rp_cloud_call(f->cloud, RP_CLOUD_ROUTINE, "GET", RP_PATH_TYPES, NULL, catalog_came,
+                  request_new(f, NULL));
+}
+
+/* ---- what time does to machines ---- */
+
+static void watch_machine(struct rp_fleet *f, struct rp_machine *m, struct timespec now) {
+    double led = rp_ts_since(now, f->led_since);
+    double boot = m->type >= 0 ? f->catalog->types[m->type].boot_s : 60;
+    switch (m->state) {
+    case RP_MACHINE_UNKNOWN:
+    case RP_MACHINE_UP:
+        if (rp_ts_reached(now, m->held_until))
+            rp_machine_enter(f->picture, m, RP_MACHINE_LOST);
+        else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
+            rp_fleet_return(f, m, "taken back");
+        else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed) && m->n_places == 0 &&
+                 m->n_foreign == 0)
+            rp_fleet_return(f, m, m->faulty ? "faulty" : "taken back soon");
+        break;
+    case RP_MACHINE_LOST:
+        if (rp_ts_since(now, m->held_until) > LOST_GRACE_S && led > LOST_GRACE_S)
+            rp_fleet_return(f, m, "lost");
+        break;
+    case RP_MACHINE_BOOTING:
+        if (rp_ts_since(now, m->rented) > boot * f->settings->tuning.boot_patience + 5 &&
+            led > LOST_GRACE_S)
+            rp_fleet_return(f, m, "not up in time");
+        break;
+    case RP_MACHINE_RETURNING:
+        break;
+    }
+}
+
+static void tick(void *arg) {
+    struct rp_fleet *f = arg;
+    struct timespec now = rp_loop_now(f->loop);
+    rp_timer_set(f->loop, &f->timer, TICK_S);
+    if (!rp_election_valid(f->election, now))
+        return;
+    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+        watch_machine(f, m, now);
+    delete_some(f);
+    for (struct rp_rental *r = f->rentals, *next; r; r = next) {
+        next = r->next;
+        rental_step(f, r);
+    }
+    list_again(f);
+    catalog_again(f);
+}
+
+/* ---- loading ---- */
+
+static void load_page(struct rp_fleet *f, const char *after);
+
+static void load_rental(struct rp_fleet *f, const struct rp_item *item) {
+    struct timespec now = rp_loop_now(f->loop), wall;
+    struct rp_rental *rental = rental_add(f, item->key + strlen(RP_KEY_RENTAL));
+    if (!rp_record_rental_read(item->value, &rental->record)) {
+        rp_error("rental record %s can't be read", item->key);
+        rental_free(f, rental);
+        return;
+    }
+    rental->stored = true;
+    if (!rental->record.answered) {
+        rental_enter(f, rental, RP_RENTAL_ASKING);
+        return;
+    }
+    clock_gettime(CLOCK_REALTIME, &wall);
+    double age = f->loop->is_virtual ? 0 : rp_ts_since(wall, rental->record.asked);
+    for (size_t i = 0; i < rp_record_rental_names(item->value); i++) {
+        const char *name = rp_record_rental_name(item->value, i);
+        if (!name || rp_machine_find(f->picture, name))
+            continue;
+        struct rp_machine *m = rp_machine_add(f->picture, name, RP_MACHINE_UNKNOWN);
+        m->rental = rental;
+        rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
+        m->rented = rp_ts_sub(now, rp_ts(age > 0 ? age : 0));
+        /* No earlier leader can have answered the machine after this node got the key. */
+        m->held_until = rp_ts_after(now, rp_workers_lease_s(f->settings));
+    }
+    rental_enter(f, rental, RP_RENTAL_LIVE);
+}
+
+static void loaded(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    struct rp_item item = {0};
+    bool more = false;
+    if (!request_current(r))
+        goto out;
+    if (result->outcome != RP_STATE_OK) {
+        f->on_loaded(f->arg, false);
+        goto out;
+    }
+    size_t n = rp_wire_items(result->body, &more);
+    for (size_t i = 0; i < n; i++)
+        if (rp_wire_items_at(result->body, i, &item))
+            load_rental(f, &item);
+    if (more && n > 0) {
+        load_page(f, item.key);
+        goto out;
+    }
+    f->active = true;
+    f->led_since = rp_loop_now(f->loop);
+    rp_timer_set(f->loop, &f->timer, 0);
+    f->on_loaded(f->arg, true);
+out:
+    request_free(r);
+}
+
+static void load_page(struct rp_fleet *f, const char *after) {
+    rp_state_list(f->state, RP_SHARE_LEADER, RP_KEY_RENTAL, after, 200, loaded,
+                  request_new(f, NULL));
+}
+
+void rp_fleet_load(struct rp_fleet *f) {
+    rp_fleet_clear(f);
+    f->next_list = (struct timespec){0};
+    load_page(f, NULL);
+}
+
+void rp_fleet_clear(struct rp_fleet *f) {
+    f->generation++;
+    f->active = f->listing = f->deleting = false;
+    f->n_refusals = 0;
+    rp_timer_cancel(f->loop, &f->timer);
+    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+        m->rental = NULL;
+    while (f->rentals)
+        rental_free(f, f->rentals);
+}
--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,85 @@
+/* Machines and rentals: what is rented, recorded, watched in the cloud's list and returned. */
+#ifndef RP_FLEET_H
+#define RP_FLEET_H
+
+#include "cloud_client.h"
+#include "picture.h"
+
+enum rp_rental_state {
+    RP_RENTAL_WRITING,   /* the intent is being recorded */
+    RP_RENTAL_ASKING,    /* the cloud is being asked, by a name never used for anything else */
+    RP_RENTAL_RECORDING, /* the machines' names are being recorded */
+    RP_RENTAL_LIVE,
+    RP_RENTAL_ENDED /* holds no machine: the record goes */
+};
+
+struct rp_rental {
+    char name[RP_TEXT_MAX];
+    enum rp_rental_state state;
+    struct rp_rental_record record;
+    bool stored;  /* the record exists */
+    bool busy;    /* a request about it is under way */
+    bool changed; /* the names differ from the record */
+    struct timespec retry;
+    struct rp_rental *next;
+};
+
+/* A kind of machine that the cloud has lately refused. */
+struct rp_refusal {
+    int type, zone;
+    bool spot;
+    struct timespec until;
+    double pause_s;
+};
+#define RP_REFUSALS_MAX 256
+#define RP_GONE_KEPT 512
+
+struct rp_fleet {
+    struct rp_loop *loop;
+    struct rp_cloud_client *cloud;
+    struct rp_state_client *state;
+    struct rp_election *election;
+    struct rp_picture *picture;
+    struct rp_jobs *jobs;
+    const struct rp_settings *settings;
+    struct rp_catalog *catalog;
+    struct rp_rental *rentals;
+    struct rp_refusal refusals[RP_REFUSALS_MAX];
+    size_t n_refusals;
+    char gone[RP_GONE_KEPT][RP_TEXT_MAX]; /* machines certainly gone: late news of them is void */
+    size_t n_gone;
+    unsigned long generation;
+    unsigned long next_name;
+    struct timespec led_since;
+    bool active, loading, listing, deleting;
+    struct timespec next_list, next_catalog;
+    char list_after[RP_TEXT_MAX];
+    struct rp_timer timer;
+    void (*on_loaded)(void *arg, bool ok);
+    void (*on_changed)(void *arg);
+    void *arg;
+    unsigned long n_rented, n_refused, n_returned;
+};
+
+void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
+                   struct rp_state_client *state, struct rp_election *election,
+                   struct rp_picture *picture, struct rp_jobs *jobs,
+                   const struct rp_settings *settings, struct rp_catalog *catalog);
+/* Reads the rental records into the picture: every machine named there may hold tasks. */
+void rp_fleet_load(struct rp_fleet *f);
+void rp_fleet_clear(struct rp_fleet *f);
+void rp_fleet_rent(struct rp_fleet *f, int type, int zone, bool spot, unsigned count);
+bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot);
+/* Rentals asked for whose machines aren't known yet. */
+unsigned rp_fleet_pending(const struct rp_fleet *f, int type, int zone, bool spot);
+void rp_fleet_adopt(struct rp_fleet *f, struct rp_machine *m);
+bool rp_fleet_gone(const struct rp_fleet *f, const char *machine);
+void rp_fleet_return(struct rp_fleet *f, struct rp_machine *m, const char *why);
+/* What a worker says of its machine, which the record may not know. */
+void rp_fleet_describe(struct rp_fleet *f, struct rp_machine *m, const char *type,
+                       const char *zone, bool spot);
+/* Cancellations are heard of fast enough for starts to be given. */
+bool rp_fleet_news_fresh(const struct rp_jobs *jobs);
+double rp_fleet_price(const struct rp_catalog *c, int type, bool spot);
+
+#endif
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,54 @@
+/* HTTP/1.1 server and client on the loop. */
+#ifndef RP_HTTP_H
+#define RP_HTTP_H
+
+#include <stddef.h>
+#include "http_parse.h"
+#include "loop.h"
+#include "net.h"
+
+struct rp_http_conn;
+struct rp_http_call;
+
+struct rp_http_limits {
+    size_t max_conns;   /* beyond this a new connection is told 503 and closed */
+    size_t body_max;    /* of a request */
+    double idle_s;      /* a connection without a request */
+    double receive_s;   /* from the first to the last byte of a request */
+    double send_s;      /* a peer that takes no bytes */
+};
+
+struct rp_http_server {
+    struct rp_loop *loop;
+    struct rp_watch watch;
+    struct rp_http_limits limits;
+    rp_request_fn fn;
+    void *arg;
+    struct rp_http_conn *conns;
+    size_t n_conns;
+    unsigned long refused;
+};
+
+int rp_http_server_open(struct rp_http_server *s, struct rp_loop *loop, const char *addr,
+                        const struct rp_http_limits *limits, rp_request_fn fn, void *arg);
+void rp_http_server_close(struct rp_http_server *s);
+
+#define RP_HTTP_HOSTS_MAX 128
+
+struct rp_http_host;
+
+struct rp_http_client {
+    struct rp_loop *loop;
+    size_t max_per_host;
+    size_t max_total;
+    size_t n_open;
+    size_t body_max; /* of a response */
+    struct rp_http_host *hosts;
+};
+
+void rp_http_client_init(struct rp_http_client *c, struct rp_loop *loop, size_t max_per_host,
+                         size_t max_total, size_t body_max);
+void rp_http_client_close(struct rp_http_client *c);
+struct rp_net rp_http_client_net(struct rp_http_client *c);
+
+#endif
--- /dev/null
+++ b/src/jobs.h
@@ -0,0 +1,99 @@
+/* The leader's table of jobs that are not over: loaded from the state service, kept up by a watch;
+ * what is done is made durable from here. */
+#ifndef RP_JOBS_H
+#define RP_JOBS_H
+
+#include "election.h"
+#include "model.h"
+#include "records.h"
+#include "settings.h"
+
+enum rp_job_state {
+    RP_JOB_OPEN,
+    RP_JOB_FINISHING, /* all tasks done, being written */
+    RP_JOB_CLOSED     /* over by the store's word: done or cancelled */
+};
+
+#define RP_JOB_ERRORS_KEPT 4
+
+struct rp_job {
+    struct rp_job_spec spec;
+    enum rp_job_state state;
+    uint64_t version;
+    struct timespec accepted; /* time of day */
+    struct timespec known;    /* steady: when this leader first knew it */
+    double age_at_known_s;
+    int team;
+    uint32_t n_done, n_running;
+    uint32_t n_counted; /* places whose task may be on a machine */
+    uint32_t n_refs;    /* places that point here */
+    uint8_t *done, *durable; /* bit sets over the tasks */
+    uint8_t *where;          /* in how many places each task may be */
+    uint32_t zone_count[RP_ZONES_MAX];
+    uint32_t cursor; /* no task below it can be started */
+    uint32_t chunks_written, chunks_dirty, chunks_flushing; /* bit sets */
+    struct timespec dirty_since;
+    bool writing; /* the finishing transaction is under way */
+    /* Errors: a job that fails on several machines is itself at fault. */
+    char error_on[RP_JOB_ERRORS_KEPT][RP_TEXT_MAX];
+    unsigned n_error_on;
+    struct timespec held_until;
+    struct rp_job *hash_next;
+    struct rp_job *prev, *next; /* all jobs in the table, in order of acceptance */
+};
+
+#define RP_JOBS_BUCKETS 4096
+
+/* What is learned of a class: how its real run times relate to its owners' estimates. */
+struct rp_class_stats {
+    char name[RP_TEXT_MAX];
+    double ratio;  /* decayed mean of run time / estimate */
+    double weight; /* decayed number of observations */
+};
+#define RP_CLASSES_MAX 64
+
+typedef void (*rp_jobs_ready_fn)(void *arg, bool ok);
+
+struct rp_jobs {
+    struct rp_loop *loop;
+    struct rp_state_client *state;
+    struct rp_election *election;
+    const struct rp_settings *settings;
+    struct rp_job *buckets[RP_JOBS_BUCKETS];
+    struct rp_job *first, *last;
+    size_t n_jobs;
+    uint64_t revision; /* the table holds everything up to here */
+    struct timespec synced; /* when the newest answered watch was sent */
+    struct timespec follow_sent;
+    unsigned long generation; /* answers to requests of an earlier leadership are ignored */
+    bool active;
+    struct rp_timer timer;
+    struct rp_class_stats classes[RP_CLASSES_MAX];
+    size_t n_classes;
+    rp_jobs_ready_fn on_loaded;
+    void (*on_closed)(void *arg, struct rp_job *job);
+    void (*on_changed)(void *arg);
+    void *arg;
+};
+
+void rp_jobs_init(struct rp_jobs *t, struct rp_loop *loop, struct rp_state_client *state,
+                  struct rp_election *election, const struct rp_settings *settings);
+/* Loads everything; `on_loaded` tells the outcome. */
+void rp_jobs_load(struct rp_jobs *t);
+/* Empties the table; every place must have been dropped before. */
+void rp_jobs_clear(struct rp_jobs *t);
+struct rp_job *rp_jobs_find(const struct rp_jobs *t, const char *id);
+/* Seconds since the last moment of which the table is known to hold all news. */
+double rp_jobs_stale_s(const struct rp_jobs *t);
+double rp_job_age_s(const struct rp_job *job, struct timespec now);
+
+bool rp_job_task_done(const struct rp_job *job, uint32_t task);
+bool rp_job_task_durable(const struct rp_job *job, uint32_t task);
+/* A worker has reported the task done (of a gang: any task). */
+void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task);
+void rp_jobs_release(struct rp_jobs *t, struct rp_job *job);
+void rp_jobs_observe(struct rp_jobs *t, const struct rp_job *job, double run_s);
+/* The expected run time of one of the job's tasks. */
+double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,172 @@
+#include <errno.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "http.h"
+#include "log.h"
+#include "node.h"
+
+#define OPERATOR_FILE "/etc/ridgepulley/operator.txtpb"
+
+/* Exit codes. */
+enum { EXIT_OK = 0, EXIT_TROUBLE = 1, EXIT_USAGE = 2 };
+
+struct options {
+    const char *config;
+    const char *operator_file;
+    bool operator_given, check;
+};
+
+static void usage(FILE *to) {
+    fputs("Usage: ridgepulley --config FILE [--operator FILE] [--check]\n"
+          "A controller node of the ridgepulley cluster scheduler.\n\n"
+          "  -c, --config FILE    the platform's settings (JSON)\n"
+          "  -o, --operator FILE  the operators' settings (protobuf text format);\n"
+          "                       default " OPERATOR_FILE ", may be absent\n"
+          "      --check          check both files, report every mistake, and exit\n"
+          "  -h, --help           print this and exit\n"
+          "  -V, --version        print the version and exit\n\n"
+          "LOG_LEVEL in the environment: error, info (default) or debug.\n"
+          "Exit codes: 0 well, 1 trouble while running, 2 wrong usage or settings.\n",
+          to);
+}
+
+static int parse_options(int argc, char **argv, struct options *o) {
+    static const struct option longs[] = {
+        {"config", required_argument, NULL, 'c'}, {"operator", required_argument, NULL, 'o'},
+        {"check", no_argument, NULL, 'k'},        {"help", no_argument, NULL, 'h'},
+        {"version", no_argument, NULL, 'V'},      {NULL, 0, NULL, 0}};
+    int c;
+    *o = (struct options){.operator_file = OPERATOR_FILE};
+    while ((c = getopt_long(argc, argv, "c:o:hV", longs, NULL)) != -1) {
+        switch (c) {
+        case 'c':
+            o->config = optarg;
+            break;
+        case 'o':
+            o->operator_file = optarg;
+            o->operator_given = true;
+            break;
+        case 'k':
+            o->check = true;
+            break;
+        case 'h':
+            usage(stdout);
+            return EXIT_OK;
+        case 'V':
+            puts("ridgepulley " RP_VERSION);
+            return EXIT_OK;
+        default:
+            usage(stderr);
+            return EXIT_USAGE;
+        }
+    }
+    if (!o->config || optind < argc) {
+        fputs(o->config ? "ridgepulley: unexpected argument\n"
+                        : "ridgepulley: --config FILE is needed\n",
+              stderr);
+        usage(stderr);
+        return EXIT_USAGE;
+    }
+    return -1;
+}
+
+static char *read_file(const char *path) {
+    FILE *f = fopen(path, "rb");
+    char *text = NULL;
+    size_t len = 0, n;
+    if (!f)
+        return NULL;
+    do {
+        char *more = realloc(text, len + 65536 + 1);
+        if (!more)
+            goto out;
+        text = more;
+        n = fread(text + len, 1, 65536, f);
+        len += n;
+        text[len] = '\0';
+    } while (n > 0 && len < (4u << 20));
+out:
+    fclose(f);
+    return text;
+}
+
+static int load_settings(const struct options *o, struct rp_settings *s) {
+    int mistakes = 0;
+    char *text = read_file(o->config);
+    if (!text) {
+        fprintf(stderr, "%s: %s\n", o->config, strerror(errno));
+        return EXIT_USAGE;
+    }
+    mistakes += rp_settings_parse(s, text, o->config, stderr);
+    free(text);
+    errno = 0;
+    text = read_file(o->operator_file);
+    if (text)
+        mistakes += rp_tuning_parse(&s->tuning, text, o->operator_file, stderr);
+    else if (o->operator_given || errno != ENOENT) {
+        fprintf(stderr, "%s: %s\n", o->operator_file, strerror(errno));
+        mistakes++;
+    }
+    free(text);
+    if (mistakes == 0)
+        mistakes += rp_settings_check(s, stderr);
+    return mistakes ? EXIT_USAGE : EXIT_OK;
+}
+
+static int serve(const struct rp_settings *s) {
+    struct rp_loop loop;
+    struct rp_http_client client;
+    struct rp_http_server users, peers;
+    static struct rp_node node;
+    /* Sockets: users and workers get most, calls of our own a part, the rest stays free. */
+    size_t own = s->max_connections / 8 < 64 ? s->max_connections / 8 : 64;
+    struct rp_http_limits user_limits = {.max_conns = s->max_connections * 3 / 4,
+                                         .body_max = 65536,
+                                         .idle_s = 120,
+                                         .receive_s = 10,
+                                         .send_s = 10};
+    struct rp_http_limits peer_limits = user_limits;
+    peer_limits.max_conns = s->max_connections / 16;
+    int rc = rp_loop_init(&loop, false);
+    if (rc < 0)
+        goto out;
+    rp_http_client_init(&client, &loop, 24, own, 16u << 20);
+    rc = rp_node_init(&node, &loop, rp_http_client_net(&client), s);
+    if (rc < 0)
+        goto out;
+    rc = rp_http_server_open(&users, &loop, s->client_listen, &user_limits, rp_node_client_request,
+                             &node);
+    if (rc < 0)
+        goto out;
+    rc = rp_http_server_open(&peers, &loop, s->peer_listen, &peer_limits, rp_node_peer_request,
+                             &node);
+    if (rc < 0)
+        goto out;
+    rp_info("ridgepulley " RP_VERSION " serves users on %s, peers on %s", s->client_listen,
+            s->peer_listen);
+    rp_node_start(&node);
+    rc = rp_loop_run(&loop);
+out:
+    rp_error("ended: %s", strerror(-rc));
+    return EXIT_TROUBLE;
+}
+
+int main(int argc, char **argv) {
+    struct options o;
+    struct rp_settings settings;
+    int rc = parse_options(argc, argv, &o);
+    if (rc >= 0)
+        return rc;
+    rc = load_settings(&o, &settings);
+    if (rc != EXIT_OK || o.check) {
+        if (rc == EXIT_OK)
+            puts("settings are good");
+        return rc;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    rp_log_setup(settings.node, rp_log_level_named(getenv("LOG_LEVEL")));
+    return serve(&settings);
+}
--- /dev/null
+++ b/src/model.h
@@ -0,0 +1,122 @@
+/* The field's terms: what every part of the service speaks of. */
+#ifndef RP_MODEL_H
+#define RP_MODEL_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include "timeutil.h"
+
+#define RP_ID_MAX 48    /* a job's id */
+#define RP_TEXT_MAX 96  /* names of classes, teams, images, types, zones, machines */
+#define RP_TYPES_MAX 32 /* machine types: a job's allowed ones are a bit set */
+#define RP_ZONES_MAX 32
+#define RP_TASKS_MAX 100000
+
+enum rp_kind { RP_ARRAY, RP_GANG };
+enum rp_priority { RP_LOW, RP_NORMAL, RP_HIGH, RP_PRODUCTION };
+
+struct rp_resources {
+    double cpus, gpus, memory_gb;
+};
+
+struct rp_job_spec {
+    char id[RP_ID_MAX];
+    char class_name[RP_TEXT_MAX];
+    char team[RP_TEXT_MAX];
+    enum rp_kind kind;
+    enum rp_priority priority;
+    uint32_t n_tasks;
+    struct rp_resources each;
+    char image[RP_TEXT_MAX];
+    double image_gb;
+    char (*types)[RP_TEXT_MAX]; /* NULL: any */
+    size_t n_types;
+    char zone[RP_TEXT_MAX]; /* "": any */
+    bool one_zone, spread, spot;
+    double estimate_s, checkpoint_s, save_s;
+    double deadline_s; /* 0: none */
+};
+
+struct rp_type {
+    char name[RP_TEXT_MAX];
+    struct rp_resources capacity;
+    double cache_gb, fetch_gb_per_s, price, spot_price, boot_s;
+    uint32_t zones; /* bit set over rp_catalog.zones */
+};
+
+struct rp_catalog {
+    struct rp_type types[RP_TYPES_MAX];
+    size_t n_types;
+    char zones[RP_ZONES_MAX][RP_TEXT_MAX];
+    size_t n_zones;
+};
+
+enum rp_task_state { RP_TASK_FETCHING, RP_TASK_WAITING, RP_TASK_RUNNING, RP_TASK_SAVING, RP_TASK_EXITED };
+enum rp_exit {
+    RP_EXIT_NONE,
+    RP_EXIT_DONE,
+    RP_EXIT_STOPPED,
+    RP_EXIT_PEERS,
+    RP_EXIT_ALONE,
+    RP_EXIT_ERROR,
+    RP_EXIT_NO_ROOM,
+    RP_EXIT_BUSY,
+    RP_EXIT_UNKNOWN,
+    RP_EXIT_OTHER
+};
+
+struct rp_task_report {
+    char job[RP_ID_MAX];
+    uint32_t task;
+    uint64_t attempt;
+    enum rp_task_state state;
+    enum rp_exit why;
+    bool saved;
+};
+
+struct rp_report {
+    char machine[RP_TEXT_MAX];
+    char addr[RP_TEXT_MAX];
+    char type[RP_TEXT_MAX];
+    char zone[RP_TEXT_MAX];
+    bool spot;
+    uint64_t session, seq, token;
+    bool has_notice;
+    double notice_s;
+    struct rp_task_report *tasks;
+    size_t n_tasks;
+};
+
+enum rp_op { RP_OP_START, RP_OP_STOP, RP_OP_FORGET };
+
+struct rp_command {
+    enum rp_op op;
+    char job[RP_ID_MAX];
+    uint32_t task;
+    uint64_t attempt;
+    double grace_s;
+};
+
+enum rp_listed_state { RP_LISTED_BOOTING, RP_LISTED_RUNNING, RP_LISTED_FAILED };
+
+struct rp_listed {
+    char machine[RP_TEXT_MAX];
+    char addr[RP_TEXT_MAX];
+    char type[RP_TEXT_MAX];
+    char zone[RP_TEXT_MAX];
+    bool spot;
+    enum rp_listed_state state;
+    double age_s;
+};
+
+/* What a user is told of a job. */
+enum rp_job_word { RP_JOB_QUEUED, RP_JOB_RUNNING, RP_JOB_DONE, RP_JOB_CANCELLED };
+
+struct rp_job_status {
+    char id[RP_ID_MAX];
+    enum rp_job_word word;
+    uint32_t done, running;
+};
+
+#endif
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,346 @@
+#include "node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+#include "wire.h"
+
+#define SUMMARY_S 2.0
+#define ROUND_GAP_S 1.0 /* rounds that news call for keep this distance */
+#define PATH_SUMMARY "/peer/summary"
+#define PATH_STATUS "/status"
+
+static void on_elected(void *arg);
+static void on_lost(void *arg);
+static void on_loaded(void *arg, bool ok);
+static void on_fleet_loaded(void *arg, bool ok);
+static void on_closed(void *arg, struct rp_job *job);
+static void on_room(void *arg);
+static void room_due(void *arg);
+static void retry_due(void *arg);
+static void catalog_due(void *arg);
+static void summary_due(void *arg);
+
+int rp_node_init(struct rp_node *n, struct rp_loop *loop, struct rp_net net,
+                 const struct rp_settings *s) {
+    memset(n, 0, sizeof *n);
+    n->loop = loop;
+    n->net = net;
+    n->settings = s;
+    rp_state_client_init(&n->state, loop, net, s->state_addr, s->state_rps, s->state_write_rps,
+                         s->n_nodes, s->tuning.leader_write_share);
+    rp_cloud_client_init(&n->cloud, loop, net, s->cloud_addr, s->cloud_rps);
+    rp_election_init(&n->election, loop, &n->state, s->node, s->tuning.leader_ttl_s,
+                     s->tuning.leader_check_s, on_elected, on_lost, n);
+    rp_jobs_init(&n->jobs, loop, &n->state, &n->election, s);
+    if (rp_picture_init(&n->picture, loop, &n->jobs, s, &n->catalog) < 0)
+        return -1;
+    rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->picture, &n->jobs, s,
+                  &n->catalog);
+    rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s);
+    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s);
+    n->jobs.on_loaded = on_loaded;
+    n->jobs.on_closed = on_closed;
+    n->jobs.on_changed = on_room;
+    n->jobs.arg = n;
+    n->fleet.on_loaded = on_fleet_loaded;
+    n->fleet.on_changed = on_room;
+    n->fleet.arg = n;
+    n->workers.on_room = on_room;
+    n->workers.arg = n;
+    n->catalog_timer = (struct rp_timer){.fn = catalog_due, .arg = n};
+    n->summary_timer = (struct rp_timer){.fn = summary_due, .arg = n};
+    n->retry_timer = (struct rp_timer){.fn = retry_due, .arg = n};
+    n->room_timer = (struct rp_timer){.fn = room_due, .arg = n};
+    return 0;
+}
+
+void rp_node_start(struct rp_node *n) {
+    rp_timer_set(n->loop, &n->catalog_timer, 0);
+    rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
+}
+
+void rp_node_close(struct rp_node *n) {
+    rp_fleet_clear(&n->fleet);
+    rp_picture_free(&n->picture);
+    rp_jobs_clear(&n->jobs);
+    rp_round_stop(&n->round);
+    rp_election_stop(&n->election);
+    rp_timer_cancel(n->loop, &n->catalog_timer);
+    rp_timer_cancel(n->loop, &n->summary_timer);
+    rp_timer_cancel(n->loop, &n->retry_timer);
+    rp_timer_cancel(n->loop, &n->room_timer);
+    rp_state_client_close(&n->state);
+    rp_cloud_client_close(&n->cloud);
+    free(n->summary);
+}
+
+/* ---- the machine types: without them a node can't judge submissions, nor lead ---- */
+
+static void catalog_came(void *arg, const struct rp_answer *answer) {
+    struct rp_node *n = arg;
+    if (answer->status == 200 && rp_wire_catalog(answer->body, answer->len, &n->catalog)) {
+        n->catalog_known = true;
+        rp_info("machine types known: %zu", n->catalog.n_types);
+        rp_election_start(&n->election);
+        return;
+    }
+    rp_timer_set(n->loop, &n->catalog_timer, 0.5);
+}
+
+static void catalog_due(void *arg) {
+    struct rp_node *n = arg;
+    rp_cloud_call(&n->cloud, RP_CLOUD_URGENT, "GET", RP_PATH_TYPES, NULL, catalog_came, n);
+}
+
+/* ---- leading ---- */
+
+/* The one place where the node changes its state. */
+static void enter(struct rp_node *n, enum rp_node_state at) {
+    n->at = at;
+    n->workers.ready = at == RP_NODE_LEADING;
+    rp_timer_cancel(n->loop, &n->retry_timer);
+    switch (at) {
+    case RP_NODE_FOLLOWING:
+        rp_round_stop(&n->round);
+        rp_fleet_clear(&n->fleet);
+        rp_picture_reset(&n->picture, 0);
+        rp_jobs_clear(&n->jobs);
+        break;
+    case RP_NODE_RECOVERING:
+        rp_round_stop(&n->round);
+        rp_fleet_clear(&n->fleet);
+        rp_picture_reset(&n->picture, n->election.token);
+        rp_jobs_load(&n->jobs);
+        break;
+    case RP_NODE_LEADING:
+        rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->picture.n_machines);
+        rp_round_start(&n->round);
+        break;
+    }
+}
+
+static void on_elected(void *arg) {
+    enter(arg, RP_NODE_RECOVERING);
+}
+
+static void on_lost(void *arg) {
+    enter(arg, RP_NODE_FOLLOWING);
+}
+
+static void on_loaded(void *arg, bool ok) {
+    struct rp_node *n = arg;
+    if (ok && n->at == RP_NODE_RECOVERING)
+        rp_fleet_load(&n->fleet);
+    else if (n->at != RP_NODE_FOLLOWING)
+        rp_timer_set(n->loop, &n->retry_timer, 0.3);
+}
+
+static void on_fleet_loaded(void *arg, bool ok) {
+    struct rp_node *n = arg;
+    if (ok)
+        enter(n, RP_NODE_LEADING);
+    else
+        rp_timer_set(n->loop, &n->retry_timer, 0.3);
+}
+
+static void retry_due(void *arg) {
+    struct rp_node *n = arg;
+    if (n->at == RP_NODE_FOLLOWING)
+        return;
+    if (!rp_election_valid(&n->election, rp_loop_now(n->loop)))
+        rp_timer_set(n->loop, &n->retry_timer, 0.3);
+    else
+        enter(n, RP_NODE_RECOVERING);
+}
+
+static void on_closed(void *arg, struct rp_job *job) {
+    struct rp_node *n = arg;
+    rp_picture_stop_job(&n->picture, job, 0);
+}
+
+/* Something changed that a round could use. */
+static void on_room(void *arg) {
+    struct rp_node *n = arg;
+    if (n->at != RP_NODE_LEADING || n->room_timer.place)
+        return;
+    double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
+    rp_timer_set(n->loop, &n->room_timer, since > ROUND_GAP_S ? 0 : ROUND_GAP_S - since);
+}
+
+static void room_due(void *arg) {
+    struct rp_node *n = arg;
+    if (n->at == RP_NODE_LEADING)
+        rp_round_run(&n->round);
+}
+
+/* ---- between nodes ---- */
+
+static char *summary_json(const struct rp_node *n) {
+    json_t *jobs = json_object();
+    size_t count = 0;
+    for (const struct rp_job *job = n->jobs.first; job && count < RP_SUMMARY_MAX; job = job->next)
+        if ((job->n_done || job->n_running) && job->state != RP_JOB_CLOSED) {
+            json_object_set_new(jobs, job->spec.id,
+                                json_pack("[i,i]", (int)job->n_done, (int)job->n_running));
+            count++;
+        }
+    json_t *v = json_pack("{s:s,s:o}", "node", n->settings->node, "jobs", jobs);
+    char *text = json_dumps(v, JSON_COMPACT);
+    json_decref(v);
+    return text;
+}
+
+static void summary_came(void *arg, const struct rp_answer *answer) {
+    struct rp_node *n = arg;
+    json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
+    json_t *jobs = json_object_get(v, "jobs");
+    const char *id;
+    json_t *counts;
+    if (!json_is_object(jobs))
+        goto out;
+    free(n->summary);
+    n->n_summary = 0;
+    n->summary = calloc(json_object_size(jobs) + 1, sizeof *n->summary);
+    if (!n->summary)
+        goto out;
+    json_object_foreach(jobs, id, counts) {
+        struct rp_job_status *st = &n->summary[n->n_summary++];
+        snprintf(st->id, sizeof st->id, "%s", id);
+        st->done = (uint32_t)json_integer_value(json_array_get(counts, 0));
+        st->running = (uint32_t)json_integer_value(json_array_get(counts, 1));
+    }
+out:
+    json_decref(v);
+}
+
+static void summary_due(void *arg) {
+    struct rp_node *n = arg;
+    rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
+    for (size_t i = 0; n->at == RP_NODE_FOLLOWING && i < n->settings->n_peers; i++)
+        if (strcmp(n->settings->peers[i].name, n->election.leader) == 0)
+            n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_SUMMARY, NULL, 1.5,
+                        summary_came, n);
+}
+
+void rp_node_display(const struct rp_node *n, struct rp_job_status *status) {
+    status->word = RP_JOB_QUEUED;
+    status->done = status->running = 0;
+    if (n->at == RP_NODE_LEADING) {
+        const struct rp_job *job = rp_jobs_find(&n->jobs, status->id);
+        if (job) {
+            status->done = job->n_done;
+            status->running = job->n_running;
+        }
+    } else {
+        for (size_t i = 0; i < n->n_summary; i++)
+            if (strcmp(n->summary[i].id, status->id) == 0) {
+                status->done = n->summary[i].done;
+                status->running = n->summary[i].running;
+            }
+    }
+    if (status->running)
+        status->word = RP_JOB_RUNNING;
+}
+
+static char *status_json(const struct rp_node *n) {
+    static const char *const states[] = {"following", "recovering", "leading"};
+    json_t *wins = json_object();
+    for (size_t i = 0; i < n->settings->tuning.n_heuristics; i++)
+        json_object_set_new(wins, n->settings->tuning.heuristics[i],
+                            json_integer((json_int_t)n->round.wins[i]));
+    json_t *v = json_pack(
+        "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node", n->settings->node, "state",
+        states[n->at], "leader", n->election.leader, "token", (json_int_t)n->election.token, "jobs",
+        (json_int_t)n->jobs.n_jobs, "machines", (json_int_t)n->picture.n_machines, "rounds",
+        (json_int_t)n->round.n_rounds, "starts", (json_int_t)n->workers.n_starts, "rented",
+        (json_int_t)n->fleet.n_rented, "refused", (json_int_t)n->fleet.n_refused, "plan_winners",
+        wins);
+    char *text = json_dumps(v, JSON_COMPACT);
+    json_decref(v);
+    return text;
+}
+
+static void respond_text(struct rp_request *req, char *text) {
+    req->respond(req, text ? 200 : 503, text ? text : "{}", 0);
+    free(text);
+}
+
+void rp_node_peer_request(void *arg, struct rp_request *req) {
+    struct rp_node *n = arg;
+    bool get = strcmp(req->method, "GET") == 0;
+    if (get && strcmp(req->target, PATH_SUMMARY) == 0 && n->at == RP_NODE_LEADING)
+        respond_text(req, summary_json(n));
+    else if (get && strcmp(req->target, PATH_STATUS) == 0)
+        respond_text(req, status_json(n));
+    else
+        req->respond(req, 404, "{\"error\":\"no such path\"}", 0);
+}
+
+/* ---- users, workers, health ---- */
+
+bool rp_node_healthy(const struct rp_node *n) {
+    return n->catalog_known && n->state.last_ok.tv_sec != 0;
+}
+
+static void refuse(struct rp_request *req, int status, const char *text) {
+    char *body = rp_wire_error(text);
+    req->respond(req, status, body ? body : "{}", 0);
+    free(body);
+}
+
+static void job_request(struct rp_node *n, struct rp_request *req, const char *rest) {
+    char id[RP_ID_MAX];
+    const char *slash = strchr(rest, '/');
+    size_t len = slash ? (size_t)(slash - rest) : strlen(rest);
+    bool get = strcmp(req->method, "GET") == 0, post = strcmp(req->method, "POST") == 0;
+    bool cancel = slash && strcmp(slash, "/cancel") == 0;
+    if (slash && !cancel) {
+        refuse(req, 404, "no such path");
+        return;
+    }
+    if ((cancel && !post) || (!cancel && !get)) {
+        refuse(req, 405, "method not allowed");
+        return;
+    }
+    if (len >= sizeof id) {
+        refuse(req, 404, "no such job");
+        return;
+    }
+    memcpy(id, rest, len);
+    id[len] = '\0';
+    if (!rp_wire_id_valid(id))
+        refuse(req, 404, "no such job");
+    else if (cancel)
+        rp_api_cancel(n, req, id);
+    else
+        rp_api_query(n, req, id);
+}
+
+void rp_node_client_request(void *arg, struct rp_request *req) {
+    struct rp_node *n = arg;
+    bool get = strcmp(req->method, "GET") == 0, post = strcmp(req->method, "POST") == 0;
+    const char *t = req->target;
+    size_t jobs = strlen(RP_PATH_JOBS);
+    if (strcmp(t, RP_PATH_HEALTH) == 0) {
+        if (get)
+            req->respond(req, rp_node_healthy(n) ? 200 : 503, "{}", 0);
+        else
+            refuse(req, 405, "method not allowed");
+    } else if (strcmp(t, RP_PATH_REPORT) == 0) {
+        if (post)
+            rp_workers_report(&n->workers, req);
+        else
+            refuse(req, 405, "method not allowed");
+    } else if (strcmp(t, RP_PATH_JOBS) == 0) {
+        if (post)
+            rp_api_submit(n, req);
+        else
+            refuse(req, 405, "method not allowed");
+    } else if (strncmp(t, RP_PATH_JOBS "/", jobs + 1) == 0) {
+        job_request(n, req, t + jobs + 1);
+    } else {
+        refuse(req, 404, "no such path");
+    }
+}
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,63 @@
+/* A node: all parts put together, with the network plugged in from outside. */
+#ifndef RP_NODE_H
+#define RP_NODE_H
+
+#include "cloud_client.h"
+#include "election.h"
+#include "fleet.h"
+#include "jobs.h"
+#include "net.h"
+#include "picture.h"
+#include "round.h"
+#include "settings.h"
+#include "state_client.h"
+#include "workers.h"
+
+enum rp_node_state {
+    RP_NODE_FOLLOWING,  /* serves users, sends workers on */
+    RP_NODE_RECOVERING, /* holds the key and reads the records */
+    RP_NODE_LEADING
+};
+
+#define RP_SUMMARY_MAX 2048
+
+struct rp_node {
+    struct rp_loop *loop;
+    struct rp_net net;
+    const struct rp_settings *settings;
+    enum rp_node_state at;
+    struct rp_catalog catalog;
+    bool catalog_known, state_seen;
+    struct rp_state_client state;
+    struct rp_cloud_client cloud;
+    struct rp_election election;
+    struct rp_jobs jobs;
+    struct rp_picture picture;
+    struct rp_fleet fleet;
+    struct rp_workers workers;
+    struct rp_round round;
+    struct rp_timer catalog_timer, summary_timer, retry_timer;
+    struct rp_timer room_timer;
+    /* What the leader last told of running jobs, for display by other nodes. */
+    struct rp_job_status *summary;
+    size_t n_summary;
+    unsigned long n_accepted, n_answers[6];
+};
+
+int rp_node_init(struct rp_node *n, struct rp_loop *loop, struct rp_net net,
+                 const struct rp_settings *settings);
+void rp_node_start(struct rp_node *n);
+void rp_node_close(struct rp_node *n);
+/* Requests from users, workers and health checks. */
+void rp_node_client_request(void *node, struct rp_request *req);
+/* Requests from other nodes and operators. */
+void rp_node_peer_request(void *node, struct rp_request *req);
+
+/* api.c: the users' interface. */
+void rp_api_submit(struct rp_node *n, struct rp_request *req);
+void rp_api_query(struct rp_node *n, struct rp_request *req, const char *id);
+void rp_api_cancel(struct rp_node *n, struct rp_request *req, const char *id);
+bool rp_node_healthy(const struct rp_node *n);
+void rp_node_display(const struct rp_node *n, struct rp_job_status *status);
+
+#endif
--- /dev/null
+++ b/src/picture.c
@@ -0,0 +1,329 @@
+#include "picture.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+
+int rp_picture_init(struct rp_picture *p, struct rp_loop *loop, struct rp_jobs *jobs,
+                    const struct rp_settings *settings, const struct rp_catalog *catalog) {
+    memset(p, 0, sizeof *p);
+    p->loop = loop;
+    p->jobs = jobs;
+    p->settings = settings;
+    p->catalog = catalog;
+    p->team_cpus = calloc(settings->n_teams + 1, sizeof(double));
+    p->team_gpus = calloc(settings->n_teams + 1, sizeof(double));
+    return p->team_cpus && p->team_gpus ? 0 : -1;
+}
+
+static void machine_free(struct rp_machine *m) {
+    free(m->places);
+    free(m->foreign);
+    free(m);
+}
+
+static void drop_all(struct rp_picture *p) {
+    while (p->first)
+        rp_machine_remove(p, p->first);
+}
+
+void rp_picture_reset(struct rp_picture *p, uint64_t token) {
+    drop_all(p);
+    for (size_t i = 0; i < p->settings->n_teams; i++)
+        p->team_cpus[i] = p->team_gpus[i] = 0;
+    p->attempt_base = token << 32;
+    p->attempt_next = 0;
+}
+
+void rp_picture_free(struct rp_picture *p) {
+    drop_all(p);
+    free(p->team_cpus);
+    free(p->team_gpus);
+}
+
+struct rp_machine *rp_machine_find(const struct rp_picture *p, const char *name) {
+    struct rp_machine *m = p->first;
+    while (m && strcmp(m->name, name) != 0)
+        m = m->next;
+    return m;
+}
+
+struct rp_machine *rp_machine_add(struct rp_picture *p, const char *name,
+                                  enum rp_machine_state state) {
+    struct rp_machine *m = calloc(1, sizeof *m);
+    if (!m)
+        abort(); /* out of memory: a restart is the honest answer */
+    strncpy(m->name, name, sizeof m->name - 1);
+    m->state = state;
+    m->type = m->zone = -1;
+    m->rented = m->idle_since = rp_loop_now(p->loop);
+    m->prev = p->last;
+    if (p->last)
+        p->last->next = m;
+    else
+        p->first = m;
+    p->last = m;
+    p->n_machines++;
+    return m;
+}
+
+void rp_machine_remove(struct rp_picture *p, struct rp_machine *m) {
+    rp_machine_session_over(p, m);
+    if (m->prev)
+        m->prev->next = m->next;
+    else
+        p->first = m->next;
+    if (m->next)
+        m->next->prev = m->prev;
+    else
+        p->last = m->prev;
+    p->n_machines--;
+    machine_free(m);
+}
+
+void rp_machine_enter(struct rp_picture *p, struct rp_machine *m, enum rp_machine_state state) {
+    static const char *const names[] = {"booting", "unknown", "up", "lost", "returning"};
+    struct timespec now = rp_loop_now(p->loop);
+    if (m->state == state)
+        return;
+    rp_debug("machine %s: %s -> %s", m->name, names[m->state], names[state]);
+    if (state == RP_MACHINE_UP && m->up.tv_sec == 0 && m->up.tv_nsec == 0) {
+        m->up = now;
+        m->idle_since = now;
+    }
+    if (state == RP_MACHINE_LOST) {
+        rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_places);
+        rp_machine_session_over(p, m);
+    }
+    m->state = state;
+}
+
+void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m) {
+    while (m->n_places > 0)
+        rp_place_drop(p, m, m->n_places - 1);
+    m->n_foreign = 0;
+    m->n_images = 0;
+}
+
+uint64_t rp_picture_attempt(struct rp_picture *p) {
+    return p->attempt_base + ++p->attempt_next;
+}
+
+bool rp_picture_settled(const struct rp_picture *p) {
+    for (const struct rp_machine *m = p->first; m; m = m->next)
+        if (m->state == RP_MACHINE_UNKNOWN ||
+            (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
+             !rp_ts_reached(rp_loop_now(p->loop), m->held_until)))
+            return false;
+    return true;
+}
+
+static bool counts(enum rp_place_state state) {
+    return state != RP_PLACE_EXITED;
+}
+
+struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m) {
+    struct rp_resources room = {0};
+    if (m->type < 0)
+        return room;
+    room = p->catalog->types[m->type].capacity;
+    for (size_t i = 0; i < m->n_places; i++) {
+        if (!counts(m->places[i].state))
+            continue;
+        room.cpus -= m->places[i].job->spec.each.cpus;
+        room.gpus -= m->places[i].job->spec.each.gpus;
+        room.memory_gb -= m->places[i].job->spec.each.memory_gb;
+    }
+    return room;
+}
+
+bool rp_machine_usable(const struct rp_machine *m) {
+    return m->state == RP_MACHINE_UP && m->recorded && m->token_seen && !m->noticed &&
+           !m->faulty && m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
+}
+
+bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
+                       int zone, bool spot) {
+    if (type < 0 || zone < 0 || (spot && !spec->spot))
+        return false;
+    if (*spec->zone && strcmp(spec->zone, p->catalog->zones[zone]) != 0)
+        return false;
+    const struct rp_resources *c = &p->catalog->types[type].capacity;
+    if (spec->each.cpus > c->cpus || spec->each.gpus > c->gpus ||
+        spec->each.memory_gb > c->memory_gb)
+        return false;
+    for (size_t i = 0; i < spec->n_types; i++)
+        if (strcmp(spec->types[i], p->catalog->types[type].name) == 0)
+            return true;
+    return spec->n_types == 0;
+}
+
+static bool any_foreign(const struct rp_picture *p) {
+    for (const struct rp_machine *m = p->first; m; m = m->next)
+        if (m->n_foreign)
+            return true;
+    return false;
+}
+
+uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job) {
+    double room = RP_TASKS_MAX;
+    if (job->team < 0)
+        return 0;
+    const struct rp_team *team = &p->settings->teams[job->team];
+    const struct rp_resources *each = &job->spec.each;
+    if (team->cpus_max <= 0 && team->gpus_max <= 0)
+        return RP_TASKS_MAX;
+    /* Tasks of jobs that this leader can't know are counted against nobody's limit, so nobody
+     * with a limit starts anything before they are gone. */
+    if (any_foreign(p))
+        return 0;
+    if (team->cpus_max > 0 && each->cpus > 0)
+        room = fmin(room, (team->cpus_max - p->team_cpus[job->team] + 1e-9) / each->cpus);
+    if (team->gpus_max > 0 && each->gpus > 0)
+        room = fmin(room, (team->gpus_max - p->team_gpus[job->team] + 1e-9) / each->gpus);
+    return room < 1 ? 0 : (uint32_t)room;
+}
+
+/* What one_zone and spread say of one more task in the zone. */
+static bool zone_fits(const struct rp_job *job, int zone) {
+    if (job->spec.one_zone)
+        for (int z = 0; z < RP_ZONES_MAX; z++)
+            if (z != zone && job->zone_count[z])
+                return false;
+    if (job->spec.spread && job->zone_count[zone] + 1 > (job->spec.n_tasks + 1) / 2)
+        return false;
+    return true;
+}
+
+bool rp_picture_may_start(const struct rp_picture *p, const struct rp_job *job, uint32_t task,
+                          const struct rp_machine *m) {
+    const struct rp_resources *each = &job->spec.each;
+    struct rp_resources room = rp_machine_free(p, m);
+    return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && job->where[task] == 0 &&
+           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_settled(p) &&
+           rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
+           each->cpus <= room.cpus + 1e-9 && each->gpus <= room.gpus + 1e-9 &&
+           each->memory_gb <= room.memory_gb + 1e-9 && rp_picture_quota_room(p, job) >= 1;
+}
+
+static void count_place(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+                        int sign) {
+    struct rp_job *job = place->job;
+    job->where[place->task] = (uint8_t)(job->where[place->task] + sign);
+    job->n_counted += (uint32_t)sign;
+    if (m->zone >= 0)
+        job->zone_count[m->zone] += (uint32_t)sign;
+    if (job->team >= 0) {
+        p->team_cpus[job->team] += sign * job->spec.each.cpus;
+        p->team_gpus[job->team] += sign * job->spec.each.gpus;
+    }
+    /* What was handed back may be started again from the first such task on. */
+    if (sign < 0 && place->task < job->cursor)
+        job->cursor = place->task;
+}
+
+static void set_running(struct rp_place *place, bool running) {
+    bool was = place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING;
+    if (was != running)
+        place->job->n_running += running ? 1 : (uint32_t)-1;
+}
+
+struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
+                              uint32_t task, uint64_t attempt, enum rp_place_state state) {
+    if (m->n_places == m->cap_places) {
+        size_t cap = m->cap_places ? m->cap_places * 2 : 16;
+        struct rp_place *places = realloc(m->places, cap * sizeof *places);
+        if (!places)
+            abort();
+        m->places = places;
+        m->cap_places = cap;
+    }
+    struct rp_place *place = &m->places[m->n_places++];
+    *place = (struct rp_place){.job = job,
+                               .task = task,
+                               .attempt = attempt,
+                               .state = state,
+                               .task_state = RP_TASK_FETCHING,
+                               .since = rp_loop_now(p->loop)};
+    job->n_refs++;
+    if (counts(state))
+        count_place(p, m, place, 1);
+    return place;
+}
+
+void rp_place_enter(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+                    enum rp_place_state state) {
+    if (place->state == state)
+        return;
+    set_running(place, false);
+    if (counts(place->state) && !counts(state))
+        count_place(p, m, place, -1);
+    place->state = state;
+}
+
+void rp_place_drop(struct rp_picture *p, struct rp_machine *m, size_t index) {
+    struct rp_place *place = &m->places[index];
+    struct rp_job *job = place->job;
+    set_running(place, false);
+    if (counts(place->state))
+        count_place(p, m, place, -1);
+    m->places[index] = m->places[--m->n_places];
+    if (m->n_places == 0)
+        m->idle_since = rp_loop_now(p->loop);
+    rp_jobs_release(p->jobs, job);
+}
+
+void rp_place_stop(struct rp_place *place, double grace_s) {
+    if (place->stop && place->grace_s <= grace_s)
+        return;
+    place->stop = true;
+    place->grace_s = grace_s;
+    place->stop_sent = (struct timespec){0};
+}
+
+void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s) {
+    for (struct rp_machine *m = p->first; m; m = m->next)
+        for (size_t i = m->n_places; i-- > 0;) {
+            struct rp_place *place = &m->places[i];
+            if (place->job != job)
+                continue;
+            if (place->state == RP_PLACE_PLANNED)
+                rp_place_drop(p, m, i);
+            else if (place->state != RP_PLACE_EXITED)
+                rp_place_stop(place, grace_s);
+        }
+}
+
+void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image,
+                           double gb) {
+    struct timespec now = rp_loop_now(p->loop);
+    double total = gb;
+    for (size_t i = 0; i < m->n_images; i++) {
+        total += m->images[i].gb;
+        if (strcmp(m->images[i].name, image) == 0) {
+            m->images[i].used = now;
+            return;
+        }
+    }
+    double cache = m->type >= 0 ? p->catalog->types[m->type].cache_gb : 0;
+    while (m->n_images > 0 && (m->n_images == RP_IMAGES_KEPT || total > cache)) {
+        size_t oldest = 0;
+        for (size_t i = 1; i < m->n_images; i++)
+            if (rp_ts_cmp(m->images[i].used, m->images[oldest].used) < 0)
+                oldest = i;
+        total -= m->images[oldest].gb;
+        m->images[oldest] = m->images[--m->n_images];
+    }
+    struct rp_image *entry = &m->images[m->n_images++];
+    strncpy(entry->name, image, sizeof entry->name - 1);
+    entry->name[sizeof entry->name - 1] = '\0';
+    entry->gb = gb;
+    entry->used = now;
+}
+
+bool rp_machine_has_image(const struct rp_machine *m, const char *image) {
+    for (size_t i = 0; i < m->n_images; i++)
+        if (strcmp(m->images[i].name, image) == 0)
+            return true;
+    return false;
+}
--- /dev/null
+++ b/src/picture.h
@@ -0,0 +1,143 @@
+/* Who may be where: machines, and on each the tasks that may be on it. A task may be started only
+ * by rp_picture_may_start's leave, which counts everything that MAY be on a machine: in flight,
+ * fetching, stopping, on machines that can't be reached. */
+#ifndef RP_PICTURE_H
+#define RP_PICTURE_H
+
+#include "jobs.h"
+#include "model.h"
+
+enum rp_machine_state {
+    RP_MACHINE_BOOTING,  /* rented, has not reported yet, can hold nothing */
+    RP_MACHINE_UNKNOWN,  /* from an earlier leader's records: may hold any task */
+    RP_MACHINE_UP,       /* its reports are the truth */
+    RP_MACHINE_LOST,     /* silent beyond its lease: holds nothing, is to be returned */
+    RP_MACHINE_RETURNING /* the cloud is being told; never used again */
+};
+
+enum rp_place_state {
+    RP_PLACE_PLANNED, /* no command has been sent: can be dropped at once */
+    RP_PLACE_SENT,    /* the start is in a report's answer; a newer report settles it */
+    RP_PLACE_SEEN,    /* in the machine's newest report */
+    RP_PLACE_EXITED   /* reported as exited: no longer on the machine, to be forgotten */
+};
+
+struct rp_place {
+    struct rp_job *job;
+    uint32_t task;
+    uint64_t attempt;
+    enum rp_place_state state;
+    enum rp_task_state task_state;
+    enum rp_exit why;
+    uint64_t sent_seq; /* number of the report whose answer carried the start */
+    struct timespec since;   /* planned */
+    struct timespec running; /* first seen running */
+    bool stop;               /* is to be stopped */
+    double grace_s;
+    struct timespec stop_sent;
+    bool marked; /* scratch of a report's reading */
+};
+
+#define RP_IMAGES_KEPT 16
+#define RP_FOREIGN_KEPT 256
+
+/* A task on a machine whose job this leader doesn't know (any more): stopped and forgotten. */
+struct rp_foreign {
+    char job[RP_ID_MAX];
+    uint32_t task;
+    uint64_t attempt;
+    bool exited;
+};
+
+struct rp_image {
+    char name[RP_TEXT_MAX];
+    double gb;
+    struct timespec used;
+};
+
+struct rp_rental;
+
+struct rp_machine {
+    char name[RP_TEXT_MAX], addr[RP_TEXT_MAX];
+    enum rp_machine_state state;
+    int type; /* place in the catalog; -1: a type that it doesn't have */
+    int zone; /* place in the catalog's zones; -1: unknown */
+    bool spot;
+    bool recorded; /* its name is durable: starts may go to it */
+    struct rp_rental *rental;
+    uint64_t session, seq;
+    bool token_seen; /* its newest report shows our token */
+    bool noticed;    /* the cloud takes it away soon */
+    struct timespec notice_end;
+    struct timespec rented, up, last_report;
+    struct timespec held_until; /* its tasks are gone by then unless it is answered again */
+    struct timespec idle_since;
+    struct rp_place *places;
+    size_t n_places, cap_places;
+    struct rp_foreign *foreign;
+    size_t n_foreign;
+    struct rp_image images[RP_IMAGES_KEPT];
+    size_t n_images;
+    unsigned errors_row; /* errors since the last task that ended well */
+    bool faulty;
+    struct timespec told; /* when a direct command last went out */
+    bool telling;
+    bool delete_sent;
+    unsigned list_missing;
+    bool listed, listed_failed;
+    struct rp_machine *prev, *next;
+};
+
+struct rp_picture {
+    struct rp_loop *loop;
+    struct rp_jobs *jobs;
+    const struct rp_settings *settings;
+    const struct rp_catalog *catalog;
+    struct rp_machine *first, *last;
+    size_t n_machines;
+    double *team_cpus, *team_gpus; /* what each team's tasks may use now */
+    uint64_t attempt_base, attempt_next;
+};
+
+int rp_picture_init(struct rp_picture *p, struct rp_loop *loop, struct rp_jobs *jobs,
+                    const struct rp_settings *settings, const struct rp_catalog *catalog);
+/* Forgets everything and starts numbering attempts for this token. */
+void rp_picture_reset(struct rp_picture *p, uint64_t token);
+void rp_picture_free(struct rp_picture *p);
+
+struct rp_machine *rp_machine_find(const struct rp_picture *p, const char *name);
+struct rp_machine *rp_machine_add(struct rp_picture *p, const char *name,
+                                  enum rp_machine_state state);
+/* The machine is certainly gone: everything on it is, too. */
+void rp_machine_remove(struct rp_picture *p, struct rp_machine *m);
+/* The one place where a machine changes its state. */
+void rp_machine_enter(struct rp_picture *p, struct rp_machine *m, enum rp_machine_state state);
+/* The session is over: no task of it is on the machine any more. */
+void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m);
+
+/* Unique over all leaders: the token and a count. */
+uint64_t rp_picture_attempt(struct rp_picture *p);
+/* No machine may hold tasks that this leader doesn't know of. */
+bool rp_picture_settled(const struct rp_picture *p);
+struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m);
+bool rp_machine_usable(const struct rp_machine *m);
+/* The types, zones and kinds that the job allows. */
+bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
+                       int zone, bool spot);
+bool rp_picture_may_start(const struct rp_picture *p, const struct rp_job *job, uint32_t task,
+                          const struct rp_machine *m);
+/* Tasks of the job that its team's limit leaves room for now. */
+uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job);
+struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
+                              uint32_t task, uint64_t attempt, enum rp_place_state state);
+/* The one place where a place changes its state; keeps all counts. */
+void rp_place_enter(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+                    enum rp_place_state state);
+void rp_place_drop(struct rp_picture *p, struct rp_machine *m, size_t index);
+void rp_place_stop(struct rp_place *place, double grace_s);
+/* Wants every task of the job stopped, wherever it may be. */
+void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s);
+void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image, double gb);
+bool rp_machine_has_image(const struct rp_machine *m, const char *image);
+
+#endif
--- /dev/null
+++ b/src/plan.c
@@ -0,0 +1,511 @@
+#include "plan.h"
+
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EPS 1e-9
+
+static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF"};
+static const char *const machine_names[] = {"RND", "LM", "SM",  "LA",  "EA", "LD",
+                                            "ED",  "LAA", "EAA", "CFH", "FFH"};
+
+static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
+    for (size_t i = 0; i < n; i++)
+        if (strlen(names[i]) == len && strncmp(names[i], name, len) == 0)
+            return (int)i;
+    return -1;
+}
+
+bool rp_heuristic_named(const char *name, struct rp_heuristic *out) {
+    const char *dash = strchr(name, '-');
+    if (!dash)
+        return false;
+    int jobs = name_index(name, (size_t)(dash - name), job_names,
+                          sizeof job_names / sizeof job_names[0]);
+    int machines = name_index(dash + 1, strlen(dash + 1), machine_names,
+                              sizeof machine_names / sizeof machine_names[0]);
+    if (jobs < 0 || machines < 0)
+        return false;
+    out->jobs = (enum rp_job_order)jobs;
+    out->machines = (enum rp_machine_order)machines;
+    return true;
+}
+
+void rp_plan_free(struct rp_plan *plan) {
+    free(plan->puts);
+    free(plan->fresh);
+    memset(plan, 0, sizeof *plan);
+}
+
+/* ---- the state of one heuristic's run ---- */
+
+struct slot {
+    struct rp_resources room, later;
+    double end_s; /* estimated end of the last task */
+    bool used;
+};
+
+struct run {
+    const struct rp_plan_input *in;
+    struct rp_plan *plan;
+    struct slot *slots; /* machines, then new ones */
+    size_t *group_order, *machine_order;
+    double *key;
+    double *cpus_left, *gpus_left;
+};
+
+
+static uint32_t fit_one(double room, double need, uint32_t most) {
+    if (need <= 0)
+        return most;
+    double n = floor(room / need + EPS);
+    return n <= 0 ? 0 : n < most ? (uint32_t)n : most;
+}
+
+static uint32_t fits(const struct rp_resources *need, const struct rp_resources *room,
+                     uint32_t most) {
+    most = fit_one(room->cpus, need->cpus, most);
+    most = fit_one(room->gpus, need->gpus, most);
+    return fit_one(room->memory_gb, need->memory_gb, most);
+}
+
+static void take(struct rp_resources *room, const struct rp_resources *need, double n) {
+    room->cpus -= need->cpus * n;
+    room->gpus -= need->gpus * n;
+    room->memory_gb -= need->memory_gb * n;
+}
+
+/* ---- orders ---- */
+
+static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place) {
+    double size = g->each.cpus + 8 * g->each.gpus + g->each.memory_gb / 8;
+    switch (order) {
+    case RP_FCFS:
+        return -g->age_s;
+    case RP_RR:
+        return (double)place; /* the input alternates between teams */
+    case RP_LJF:
+        return -size;
+    case RP_SJF:
+        return size;
+    case RP_LTJF:
+        return -g->run_s;
+    case RP_STJF:
+        return g->run_s;
+    case RP_EDF:
+        return g->slack_s;
+    }
+    return 0;
+}
+
+static double machine_key(const struct rp_plan_machine *m, enum rp_machine_order order,
+                          double unit_s, gsl_rng *rng) {
+    double size = m->capacity.cpus + 8 * m->capacity.gpus;
+    double into_unit = fmod(m->age_s, unit_s);
+    switch (order) {
+    case RP_RND:
+        return gsl_rng_uniform(rng);
+    case RP_LM:
+        return -size;
+    case RP_SM:
+        return size;
+    case RP_LA:
+        return m->last_arrival_s;
+    case RP_EA:
+        return -m->first_arrival_s;
+    case RP_LD:
+        return -m->busy_s;
+    case RP_ED:
+        return m->busy_s;
+    case RP_LAA:
+        return m->mean_arrival_s;
+    case RP_EAA:
+        return -m->mean_arrival_s;
+    case RP_CFH:
+        return -into_unit;
+    case RP_FFH:
+        return into_unit;
+    }
+    return 0;
+}
+
+/* Insertion by key, stable: inputs are short and nearly in order. */
+static void sort_by(size_t *order, const double *key, size_t n) {
+    for (size_t i = 1; i < n; i++) {
+        size_t item = order[i], at = i;
+        for (; at > 0 && key[order[at - 1]] > key[item] + EPS; at--)
+            order[at] = order[at - 1];
+        order[at] = item;
+    }
+}
+
+static void sort_groups(struct run *r, enum rp_job_order order) {
+    size_t n = r->in->n_groups;
+    for (size_t i = 0; i < n; i++) {
+        r->group_order[i] = i;
+        r->key[i] = group_key(&r->in->groups[i], order, i);
+    }
+    sort_by(r->group_order, r->key, n);
+    /* Priority comes before every order: work never waits for work of a lower priority. */
+    for (size_t i = 0; i < n; i++)
+        r->key[i] = -(double)r->in->groups[i].priority;
+    sort_by(r->group_order, r->key, n);
+}
+
+static void sort_machines(struct run *r, enum rp_machine_order order) {
+    size_t n = r->in->n_machines;
+    gsl_rng *rng = order == RP_RND ? gsl_rng_alloc(gsl_rng_taus2) : NULL;
+    if (rng)
+        gsl_rng_set(rng, r->in->seed);
+    for (size_t i = 0; i < n; i++) {
+        r->machine_order[i] = i;
+        r->key[i] = order == RP_RND && !rng ? 0
+                                            : machine_key(&r->in->machines[i], order,
+                                                          r->in->unit_s, rng);
+    }
+    sort_by(r->machine_order, r->key, n);
+    if (rng)
+        gsl_rng_free(rng);
+}
+
+/* ---- placing ---- */
+
+static bool allowed(const struct rp_plan_group *g, int type, int zone, bool spot) {
+    return (g->types >> type & 1) && (g->zones >> zone & 1) && (!spot || g->spot);
+}
+
+static bool add_put(struct run *r, size_t group, size_t machine, uint32_t count, bool now) {
+    struct rp_plan *p = r->plan;
+    if (p->n_puts == p->cap_puts) {
+        size_t cap = p->cap_puts ? p->cap_puts * 2 : 64;
+        struct rp_plan_put *puts = realloc(p->puts, cap * sizeof *puts);
+        if (!puts) {
+            p->failed = true;
+            return false;
+        }
+        p->puts = puts;
+        p->cap_puts = cap;
+    }
+    p->puts[p->n_puts++] =
+        (struct rp_plan_put){.group = group, .machine = machine, .count = count, .now = now};
+    return true;
+}
+
+/* The group being placed: how many are left, and what one_zone and spread still allow. */
+struct placing {
+    const struct rp_plan_group *g;
+    size_t index;
+    uint32_t left;
+    int zone; /* fixed zone, -1: free */
+    uint32_t zone_used[RP_ZONES_MAX];
+    size_t first_put;
+};
+
+static uint32_t zone_room(const struct placing *pl, int zone) {
+    if (pl->g->one_zone && pl->zone >= 0 && pl->zone != zone)
+        return 0;
+    if (!pl->g->spread)
+        return pl->left;
+    uint32_t used = pl->zone_used[zone];
+    uint32_t room = pl->g->spread_max > used ? pl->g->spread_max - used : 0;
+    return room < pl->left ? room : pl->left;
+}
+
+static int slot_zone(const struct run *r, size_t slot) {
+    return slot < r->in->n_machines ? r->in->machines[slot].zone
+                                    : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].zone;
+}
+
+static void put(struct run *r, struct placing *pl, size_t at, uint32_t count, bool now,
+                double end_s) {
+    struct slot *slot = &r->slots[at];
+    int zone = slot_zone(r, at);
+    if (!add_put(r, pl->index, at, count, now))
+        return;
+    take(&slot->later, &pl->g->each, count);
+    if (now)
+        take(&slot->room, &pl->g->each, count);
+    slot->end_s = fmax(slot->end_s, end_s);
+    slot->used = true;
+    pl->left -= count;
+    pl->zone_used[zone] += count;
+    if (pl->g->one_zone)
+        pl->zone = zone;
+}
+
+static double fetch_s(const struct rp_plan_group *g, double rate, bool has) {
+    return has || rate <= 0 ? 0 : g->image_gb / rate;
+}
+
+/* Puts what fits on a machine now; `later`: into the room it will have. */
+static void try_machine(struct run *r, struct placing *pl, size_t at, bool later) {
+    const struct rp_plan_machine *m = &r->in->machines[at];
+    const struct rp_plan_group *g = pl->g;
+    if (!allowed(g, m->type, m->zone, m->spot))
+        return;
+    uint32_t most = zone_room(pl, m->zone);
+    most = fits(&g->each, &r->slots[at].later, most);
+    if (!later)
+        most = fits(&g->each, &r->slots[at].room, most);
+    if (most == 0)
+        return;
+    double end = (later ? m->wait_s : 0) + g->run_s +
+                 fetch_s(g, m->fetch_gb_per_s, g->has_image && g->has_image[at]);
+    put(r, pl, at, most, !later, end);
+}
+
+/* Machines that have the image come first: a fetch costs a good part of a short task's time. */
+static void try_machines(struct run *r, struct placing *pl, bool later) {
+    for (int with_image = 1; with_image >= 0; with_image--)
+        for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
+            size_t at = r->machine_order[i];
+            bool has = pl->g->has_image && pl->g->has_image[at];
+            if (has == (with_image == 1))
+                try_machine(r, pl, at, later);
+        }
+}
+
+static void try_fresh(struct run *r, struct placing *pl) {
+    for (size_t i = 0; i < r->plan->n_fresh && pl->left > 0; i++) {
+        const struct rp_plan_kind *k = &r->in->kinds[r->plan->fresh[i]];
+        size_t at = r->in->n_machines + i;
+        if (!allowed(pl->g, k->type, k->zone, k->spot))
+            continue;
+        uint32_t most = fits(&pl->g->each, &r->slots[at].later, zone_room(pl, k->zone));
+        if (most)
+            put(r, pl, at, most, false,
+                k->boot_s + pl->g->run_s + fetch_s(pl->g, k->fetch_gb_per_s, false));
+    }
+}
+
+/* Capacity per price on the main resource: the one of which a task takes the largest part. */
+static double value_of(const struct rp_plan_group *g, const struct rp_plan_kind *k) {
+    const struct rp_resources *c = &k->capacity;
+    double cpu = c->cpus > 0 ? g->each.cpus / c->cpus : 0;
+    double gpu = c->gpus > 0 ? g->each.gpus / c->gpus : 0;
+    double mem = c->memory_gb > 0 ? g->each.memory_gb / c->memory_gb : 0;
+    double capacity = gpu >= cpu && gpu >= mem ? c->gpus : cpu >= mem ? c->cpus : c->memory_gb;
+    /* In tasks, so that types whose main resource differs can be compared. */
+    double need = gpu >= cpu && gpu >= mem ? g->each.gpus : cpu >= mem ? g->each.cpus
+                                                                       : g->each.memory_gb;
+    return need > 0 && k->price > 0 ? capacity / need / k->price : capacity;
+}
+
+static int best_kind(const struct run *r, const struct placing *pl) {
+    int best = -1;
+    double best_value = -1;
+    for (size_t i = 0; i < r->in->n_kinds; i++) {
+        const struct rp_plan_kind *k = &r->in->kinds[i];
+        if (k->refused || !allowed(pl->g, k->type, k->zone, k->spot) ||
+            zone_room(pl, k->zone) == 0 || !fits(&pl->g->each, &k->capacity, 1))
+            continue;
+        double value = value_of(pl->g, k);
+        if (value > best_value + EPS) {
+            best_value = value;
+            best = (int)i;
+        }
+    }
+    return best;
+}
+
+static bool rent(struct run *r, size_t kind) {
+    struct rp_plan *p = r->plan;
+    if (p->n_fresh == r->in->new_max)
+        return false;
+    if (p->n_fresh == p->cap_fresh) {
+        size_t cap = p->cap_fresh ? p->cap_fresh * 2 : 16;
+        size_t *fresh = realloc(p->fresh, cap * sizeof *fresh);
+        if (!fresh) {
+            p->failed = true;
+            return false;
+        }
+        p->fresh = fresh;
+        p->cap_fresh = cap;
+    }
+    struct slot *slot = &r->slots[r->in->n_machines + p->n_fresh];
+    *slot = (struct slot){.later = r->in->kinds[kind].capacity};
+    p->fresh[p->n_fresh++] = kind;
+    return true;
+}
+
+static uint32_t quota(const struct run *r, const struct rp_plan_group *g) {
+    uint32_t most = g->n;
+    if (g->team < 0)
+        return most;
+    most = fit_one(r->cpus_left[g->team], g->each.cpus, most);
+    return fit_one(r->gpus_left[g->team], g->each.gpus, most);
+}
+
+/* Takes back everything put for the group, and the machines rented for it. */
+static void roll_back(struct run *r, struct placing *pl, size_t fresh_before) {
+    struct rp_plan *p = r->plan;
+    while (p->n_puts > pl->first_put) {
+        const struct rp_plan_put *u = &p->puts[--p->n_puts];
+        struct slot *slot = &r->slots[u->machine];
+        take(&slot->later, &pl->g->each, -(double)u->count);
+        if (u->now)
+            take(&slot->room, &pl->g->each, -(double)u->count);
+    }
+    p->n_fresh = fresh_before;
+    pl->left = pl->g->kind == RP_GANG ? pl->g->n : pl->left;
+    pl->zone = pl->g->fixed_zone;
+    memcpy(pl->zone_used, pl->g->zone_used, sizeof pl->zone_used);
+}
+
+static void begin(struct run *r, struct placing *pl, size_t index) {
+    pl->g = &r->in->groups[index];
+    pl->index = index;
+    pl->zone = pl->g->fixed_zone;
+    pl->first_put = r->plan->n_puts;
+    memcpy(pl->zone_used, pl->g->zone_used, sizeof pl->zone_used);
+}
+
+static void place_everywhere(struct run *r, struct placing *pl) {
+    try_machines(r, pl, false);
+    try_machines(r, pl, true);
+    try_fresh(r, pl);
+    while (pl->left > 0 && !r->plan->failed) {
+        int kind = best_kind(r, pl);
+        uint32_t before = pl->left;
+        if (kind < 0 || !rent(r, (size_t)kind))
+            return;
+        try_fresh(r, pl);
+        if (pl->left == before)
+            return;
+    }
+}
+
+/* A gang of one zone may fit in one zone and not in another: each is tried. */
+static void place_gang(struct run *r, struct placing *pl) {
+    size_t fresh = r->plan->n_fresh;
+    int zones = pl->g->one_zone && pl->zone < 0 ? RP_ZONES_MAX : 1;
+    for (int z = 0; z < zones; z++) {
+        if (zones > 1 && !(pl->g->zones >> z & 1))
+            continue;
+        if (zones > 1)
+            pl->zone = z;
+        try_machines(r, pl, false);
+        if (pl->left == 0)
+            return;
+        roll_back(r, pl, fresh);
+    }
+    for (int z = 0; z < zones; z++) {
+        if (zones > 1 && !(pl->g->zones >> z & 1))
+            continue;
+        if (zones > 1)
+            pl->zone = z;
+        place_everywhere(r, pl);
+        if (pl->left == 0)
+            return;
+        roll_back(r, pl, fresh);
+    }
+}
+
+static void place_group(struct run *r, size_t index) {
+    struct placing pl;
+    begin(r, &pl, index);
+    const struct rp_plan_group *g = pl.g;
+    uint32_t want = quota(r, g);
+    if (g->kind == RP_GANG && want < g->n)
+        return; /* over the limit: the gang waits whole */
+    pl.left = want;
+    if (g->kind == RP_GANG)
+        place_gang(r, &pl);
+    else
+        place_everywhere(r, &pl);
+    uint32_t placed = want - pl.left;
+    if (g->team >= 0) {
+        r->cpus_left[g->team] -= placed * g->each.cpus;
+        r->gpus_left[g->team] -= placed * g->each.gpus;
+    }
+    double weight = (g->each.cpus + 8 * g->each.gpus + 0.01) * g->run_s;
+    r->plan->left += pl.left * weight * pow(100, (double)g->priority);
+    for (size_t i = pl.first_put; i < r->plan->n_puts; i++) {
+        if (r->plan->puts[i].now)
+            r->plan->n_now += r->plan->puts[i].count;
+        else
+            r->plan->n_wait += r->plan->puts[i].count;
+    }
+}
+
+double rp_plan_cost(double price, double age_s, double end_s, double unit_s) {
+    return price / 3600 * unit_s * ceil((age_s + end_s) / unit_s - EPS);
+}
+
+static void price_plan(struct run *r) {
+    for (size_t i = 0; i < r->in->n_machines; i++) {
+        const struct rp_plan_machine *m = &r->in->machines[i];
+        r->plan->cost += rp_plan_cost(m->price, m->age_s, r->slots[i].end_s, r->in->unit_s);
+    }
+    for (size_t i = 0; i < r->plan->n_fresh; i++)
+        r->plan->cost += rp_plan_cost(r->in->kinds[r->plan->fresh[i]].price, 0,
+                                      r->slots[r->in->n_machines + i].end_s, r->in->unit_s);
+}
+
+void rp_plan_by(const struct rp_plan_input *in, struct rp_heuristic h, struct rp_plan *out) {
+    size_t most = in->n_groups > in->n_machines ? in->n_groups : in->n_machines;
+    struct run r = {.in = in, .plan = out};
+    memset(out, 0, sizeof *out);
+    r.slots = calloc(in->n_machines + in->new_max + 1, sizeof *r.slots);
+    r.group_order = calloc(in->n_groups + 1, sizeof(size_t));
+    r.machine_order = calloc(in->n_machines + 1, sizeof(size_t));
+    r.key = calloc(most + 1, sizeof(double));
+    r.cpus_left = calloc(in->n_teams + 1, sizeof(double));
+    r.gpus_left = calloc(in->n_teams + 1, sizeof(double));
+    if (!r.slots || !r.group_order || !r.machine_order || !r.key || !r.cpus_left || !r.gpus_left) {
+        out->failed = true;
+        goto out;
+    }
+    for (size_t i = 0; i < in->n_machines; i++)
+        r.slots[i] = (struct slot){.room = in->machines[i].room,
+                                   .later = in->machines[i].later,
+                                   .end_s = in->machines[i].busy_s};
+    for (size_t i = 0; i < in->n_teams; i++) {
+        r.cpus_left[i] = in->teams[i].cpus_left;
+        r.gpus_left[i] = in->teams[i].gpus_left;
+    }
+    sort_groups(&r, h.jobs);
+    sort_machines(&r, h.machines);
+    for (size_t i = 0; i < in->n_groups && !out->failed; i++)
+        place_group(&r, r.group_order[i]);
+    price_plan(&r);
+out:
+    free(r.slots);
+    free(r.group_order);
+    free(r.machine_order);
+    free(r.key);
+    free(r.cpus_left);
+    free(r.gpus_left);
+}
+
+bool rp_plan_better(const struct rp_plan *a, const struct rp_plan *b) {
+    if (a->failed != b->failed)
+        return b->failed;
+    /* Constraint (4) of the paper: every job has its place. Where machines run short, plans are
+     * compared first by what they leave without one. */
+    if (fabs(a->left - b->left) > EPS * (1 + fabs(b->left)))
+        return a->left < b->left;
+    if (fabs(a->cost - b->cost) > EPS)
+        return a->cost < b->cost;
+    return a->n_now > b->n_now;
+}
+
+size_t rp_plan_best(const struct rp_plan_input *in, const struct rp_heuristic *hs, size_t n,
+                    struct rp_plan *out) {
+    size_t best = 0;
+    rp_plan_by(in, hs[0], out);
+    for (size_t i = 1; i < n; i++) {
+        struct rp_plan plan;
+        rp_plan_by(in, hs[i], &plan);
+        if (rp_plan_better(&plan, out)) {
+            rp_plan_free(out);
+            *out = plan;
+            best = i;
+        } else {
+            rp_plan_free(&plan);
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/plan.h
@@ -0,0 +1,121 @@
+/* Planning: a pure function of a picture. No I/O, no clock; randomness comes in as a seed.
+ * Tasks of a job are alike, so work is planned by groups: a job's startable tasks together. */
+#ifndef RP_PLAN_H
+#define RP_PLAN_H
+
+#include "model.h"
+
+enum rp_job_order { RP_FCFS, RP_RR, RP_LJF, RP_SJF, RP_LTJF, RP_STJF, RP_EDF };
+enum rp_machine_order {
+    RP_RND,
+    RP_LM,
+    RP_SM,
+    RP_LA,
+    RP_EA,
+    RP_LD,
+    RP_ED,
+    RP_LAA,
+    RP_EAA,
+    RP_CFH,
+    RP_FFH
+};
+
+struct rp_heuristic {
+    enum rp_job_order jobs;
+    enum rp_machine_order machines;
+};
+
+/* "FCFS-SM" and the like: the paper's {job selection}-{machine selection}. */
+bool rp_heuristic_named(const char *name, struct rp_heuristic *out);
+
+struct rp_plan_kind {
+    int type, zone;
+    bool spot;
+    bool refused; /* the cloud has lately had none */
+    double price; /* per hour */
+    double boot_s, fetch_gb_per_s;
+    struct rp_resources capacity;
+};
+
+struct rp_plan_machine {
+    void *ref;
+    int type, zone;
+    bool spot;
+    double price;
+    double fetch_gb_per_s;
+    struct rp_resources capacity;
+    struct rp_resources room;  /* now; nothing while it boots */
+    struct rp_resources later; /* by the time when another machine of its type would be up */
+    double wait_s;             /* until `later` holds */
+    double age_s;              /* since its rental */
+    double busy_s;             /* until its last task's estimated end */
+    double first_arrival_s, last_arrival_s, mean_arrival_s; /* ages of its tasks */
+};
+
+struct rp_plan_group {
+    void *ref;
+    enum rp_kind kind;
+    enum rp_priority priority;
+    uint32_t n; /* tasks that can be started */
+    struct rp_resources each;
+    double run_s;
+    double image_gb;
+    double age_s;
+    double slack_s; /* until the job is late, large when it can't be */
+    int team;
+    uint32_t types, zones; /* bit sets of what is allowed */
+    bool spot;
+    bool one_zone, spread;
+    int fixed_zone; /* the zone its placed tasks are in, -1: none yet */
+    uint32_t spread_max;
+    uint32_t zone_used[RP_ZONES_MAX];
+    const bool *has_image; /* for each machine */
+};
+
+struct rp_plan_team {
+    double cpus_left, gpus_left; /* large when there is no limit */
+};
+
+struct rp_plan_input {
+    const struct rp_plan_kind *kinds;
+    size_t n_kinds;
+    const struct rp_plan_machine *machines;
+    size_t n_machines;
+    const struct rp_plan_group *groups;
+    size_t n_groups;
+    const struct rp_plan_team *teams;
+    size_t n_teams;
+    double unit_s;
+    unsigned long seed;
+    size_t new_max; /* machines that one plan may rent */
+};
+
+struct rp_plan_put {
+    size_t group;
+    size_t machine; /* from n_machines on: new ones */
+    uint32_t count;
+    bool now; /* false: holds the place, the machine has no room yet */
+};
+
+struct rp_plan {
+    struct rp_plan_put *puts;
+    size_t n_puts, cap_puts;
+    size_t *fresh; /* kinds of the new machines */
+    size_t n_fresh, cap_fresh;
+    uint32_t n_now, n_wait;
+    double left;   /* work that found no place, weighed by priority */
+    double cost;   /* formula (1) */
+    bool failed;   /* out of memory */
+};
+
+void rp_plan_free(struct rp_plan *plan);
+void rp_plan_by(const struct rp_plan_input *in, struct rp_heuristic h, struct rp_plan *out);
+/* The portfolio: the plan that leaves least undone, and of these the cheapest. Returns the place
+ * of the winner in `hs`. */
+size_t rp_plan_best(const struct rp_plan_input *in, const struct rp_heuristic *hs, size_t n,
+                    struct rp_plan *out);
+bool rp_plan_better(const struct rp_plan *a, const struct rp_plan *b);
+/* Cost of a machine by formula (1): price times the units from its start to the end of its work. */
+double rp_plan_cost(double price, double age_s, double end_s, double unit_s);
+
+#endif
--- /dev/null
+++ b/src/round.h
@@ -0,0 +1,36 @@
+/* The leader's round: builds the picture for the planner, runs the portfolio, applies the winner,
+ * returns idle machines. */
+#ifndef RP_ROUND_H
+#define RP_ROUND_H
+
+#include "fleet.h"
+#include "plan.h"
+
+struct rp_round {
+    struct rp_loop *loop;
+    struct rp_election *election;
+    struct rp_picture *picture;
+    struct rp_jobs *jobs;
+    struct rp_fleet *fleet;
+    const struct rp_settings *settings;
+    struct rp_heuristic heuristics[RP_HEURISTICS_MAX];
+    size_t n_heuristics;
+    unsigned long wins[RP_HEURISTICS_MAX];
+    unsigned long n_rounds, n_preempted;
+    struct timespec last;
+    struct rp_timer timer;
+    bool active;
+};
+
+void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
+                   struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                   const struct rp_settings *settings);
+void rp_round_start(struct rp_round *r);
+void rp_round_stop(struct rp_round *r);
+/* One round now. */
+void rp_round_run(struct rp_round *r);
+/* Seconds until the task's estimated end. */
+double rp_place_left_s(const struct rp_round *r, const struct rp_machine *m,
+                       const struct rp_place *place, struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,77 @@
+/* The platform's JSON file and the operators' text-format file. */
+#ifndef RP_SETTINGS_H
+#define RP_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#define RP_NAME_MAX 64
+#define RP_ADDR_MAX 64
+#define RP_HEURISTICS_MAX 16
+
+struct rp_peer {
+    char name[RP_NAME_MAX];
+    char zone[RP_NAME_MAX];
+    char addr[RP_ADDR_MAX];
+};
+
+struct rp_team {
+    char name[RP_NAME_MAX];
+    double cpus, cpus_max; /* guarantee and limit; 0: none */
+    double gpus, gpus_max;
+};
+
+enum rp_objective_kind { RP_AIM_WAIT, RP_AIM_FINISHED, RP_AIM_DEADLINE, RP_AIM_OTHER };
+
+struct rp_objective {
+    enum rp_objective_kind kind;
+    char class_name[RP_NAME_MAX];
+    double within_s, share, times;
+};
+
+/* What the operators may tune; see operator.proto. */
+struct rp_tuning {
+    double round_period_s, billing_unit_s, return_margin_s;
+    char heuristics[RP_HEURISTICS_MAX][24];
+    size_t n_heuristics;
+    double leader_ttl_s, leader_check_s;
+    double boot_patience, refused_pause_s, leader_write_share;
+    unsigned faulty_after;
+    bool preemption;
+};
+
+struct rp_settings {
+    char node[RP_NAME_MAX], zone[RP_NAME_MAX];
+    char client_listen[RP_ADDR_MAX], peer_listen[RP_ADDR_MAX];
+    struct rp_peer *peers;
+    size_t n_peers;
+    char cloud_addr[RP_ADDR_MAX], state_addr[RP_ADDR_MAX];
+    size_t n_nodes;
+    char (*zones)[RP_NAME_MAX];
+    size_t n_zones;
+    struct rp_team *teams;
+    size_t n_teams;
+    struct rp_objective *objectives;
+    size_t n_objectives;
+    double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
+    double state_rps, state_write_rps, state_value_kb;
+    size_t state_txn_ops;
+    double cloud_rps, list_lag_s;
+    double memory_mb;
+    size_t max_connections;
+    struct rp_tuning tuning;
+};
+
+void rp_tuning_defaults(struct rp_tuning *t);
+/* Each returns the number of mistakes, each told to `errors` in a line of its own. */
+int rp_settings_parse(struct rp_settings *s, const char *text, const char *file, FILE *errors);
+int rp_tuning_parse(struct rp_tuning *t, const char *text, const char *file, FILE *errors);
+/* What the two files say together: periods and time-outs that contradict one another. */
+int rp_settings_check(const struct rp_settings *s, FILE *errors);
+void rp_settings_free(struct rp_settings *s);
+/* The team's place in the list, or -1. */
+int rp_settings_team(const struct rp_settings *s, const char *name);
+int rp_settings_zone(const struct rp_settings *s, const char *name);
+
+#endif
--- /dev/null
+++ b/src/state_client.c
@@ -0,0 +1,283 @@
+#include "state_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+#include "wire.h"
+
+#define ANSWER_S 1.5      /* an answer takes milliseconds, now and then a few hundred */
+#define QUEUE_USERS_S 0.8 /* how long a request may wait here for its budget */
+#define QUEUE_LEADER_S 4.0
+#define TRIES_429 3
+
+struct rp_state_call {
+    struct rp_state_client *client;
+    struct rp_state_call *next;
+    enum rp_state_share share;
+    char *method, *target, *body;
+    double timeout_s;
+    unsigned writes;
+    unsigned tries;
+    struct timespec queued;
+    struct rp_timer again;
+    rp_state_fn fn;
+    void *arg;
+};
+
+static void pump_due(void *arg);
+
+void rp_state_client_init(struct rp_state_client *c, struct rp_loop *loop, struct rp_net net,
+                          const char *addr, double rps, double write_rps, size_t n_nodes,
+                          double leader_write_share) {
+    struct timespec now = rp_loop_now(loop);
+    /* The shares of all nodes together stay below the service's limits: one leader, and on each
+     * node its users. A node may use half as much again as its even part, since the load
+     * balancer never spreads evenly. */
+    double users = 1.0 - leader_write_share;
+    double part = 1.2 / (double)n_nodes;
+    memset(c, 0, sizeof *c);
+    c->loop = loop;
+    c->net = net;
+    c->addr = addr;
+    c->last_ok = now;
+    c->pump = (struct rp_timer){.fn = pump_due, .arg = c};
+    rp_bucket_init(&c->requests[RP_SHARE_LEADER], rps * 0.35, rps * 0.25, now);
+    rp_bucket_init(&c->writes[RP_SHARE_LEADER], write_rps * leader_write_share * 0.9,
+                   write_rps * leader_write_share * 0.6, now);
+    rp_bucket_init(&c->requests[RP_SHARE_USERS], rps * 0.55 * part, rps * 0.4 * part, now);
+    rp_bucket_init(&c->writes[RP_SHARE_USERS], write_rps * users * part, write_rps * users * part,
+                   now);
+}
+
+static void call_free(struct rp_state_call *call) {
+    rp_timer_cancel(call->client->loop, &call->again);
+    free(call->method);
+    free(call->target);
+    free(call->body);
+    free(call);
+}
+
+void rp_state_client_close(struct rp_state_client *c) {
+    rp_timer_cancel(c->loop, &c->pump);
+    for (int s = 0; s < RP_SHARES; s++)
+        while (c->first[s]) {
+            struct rp_state_call *call = c->first[s];
+            c->first[s] = call->next;
+            call_free(call);
+        }
+}
+
+static void finish(struct rp_state_call *call, enum rp_state_outcome outcome, json_t *body) {
+    struct rp_state_result result = {.outcome = outcome, .body = body};
+    rp_state_fn fn = call->fn;
+    void *arg = call->arg;
+    call_free(call);
+    fn(arg, &result);
+    json_decref(body);
+}
+
+static enum rp_state_outcome outcome_of(int status) {
+    switch (status) {
+    case 200:
+        return RP_STATE_OK;
+    case 400:
+        return RP_STATE_BAD;
+    case 404:
+        return RP_STATE_MISSING;
+    case 409:
+        return RP_STATE_CONFLICT;
+    case 410:
+        return RP_STATE_GONE;
+    case 429:
+    case 503:
+        return RP_STATE_REFUSED;
+    default:
+        return RP_STATE_UNKNOWN;
+    }
+}
+
+static void note_health(struct rp_state_client *c, enum rp_state_outcome outcome, int status) {
+    struct timespec now = rp_loop_now(c->loop);
+    if (outcome == RP_STATE_UNKNOWN || status == 503) {
+        if (c->failing_since.tv_sec == 0 && c->failing_since.tv_nsec == 0)
+            c->failing_since = now;
+    } else {
+        c->failing_since = (struct timespec){0};
+        c->last_ok = now;
+    }
+    c->n_refused += outcome == RP_STATE_REFUSED;
+    c->n_unknown += outcome == RP_STATE_UNKNOWN;
+}
+
+static void enqueue(struct rp_state_call *call);
+
+static void again_due(void *arg) {
+    enqueue(arg);
+}
+
+static void answered(void *arg, const struct rp_answer *answer) {
+    struct rp_state_call *call = arg;
+    struct rp_state_client *c = call->client;
+    enum rp_state_outcome outcome = outcome_of(answer->status);
+    json_t *body = NULL;
+    note_health(c, outcome, answer->status);
+    if (answer->status == 429 && ++call->tries < TRIES_429) {
+        rp_timer_set(c->loop, &call->again, 0.1 * call->tries);
+        return;
+    }
+    if (answer->len)
+        body = rp_wire_parse(answer->body, answer->len);
+    if (outcome == RP_STATE_OK && answer->len && !body)
+        outcome = RP_STATE_UNKNOWN;
+    if (outcome == RP_STATE_BAD)
+        rp_error("state service refused %s %s: %.200s", call->method, call->target, answer->body);
+    finish(call, outcome, body);
+}
+
+static void send_call(struct rp_state_call *call) {
+    struct rp_state_client *c = call->client;
+    rp_bucket_take(&c->requests[call->share], 1);
+    rp_bucket_take(&c->writes[call->share], call->writes);
+    c->net.call(c->net.ctx, c->addr, call->method, call->target, call->body, call->timeout_s,
+                answered, call);
+}
+
+static bool may_send(struct rp_state_client *c, const struct rp_state_call *call) {
+    struct timespec now = rp_loop_now(c->loop);
+    if (call->share == RP_SHARE_LEADERSHIP)
+        return true;
+    return rp_bucket_has(&c->requests[call->share], 1, now) &&
+           (call->writes == 0 || rp_bucket_has(&c->writes[call->share], call->writes, now));
+}
+
+static void pump_share(struct rp_state_client *c, enum rp_state_share share) {
+    double patience = share == RP_SHARE_USERS ? QUEUE_USERS_S : QUEUE_LEADER_S;
+    while (c->first[share]) {
+        struct rp_state_call *call = c->first[share];
+        bool late = rp_ts_since(rp_loop_now(c->loop), call->queued) > patience;
+        if (!late && !may_send(c, call))
+            return;
+        c->first[share] = call->next;
+        if (!call->next)
+            c->last[share] = NULL;
+        call->next = NULL;
+        if (late) {
+            c->n_shed++;
+            finish(call, RP_STATE_REFUSED, NULL);
+        } else {
+            send_call(call);
+        }
+    }
+}
+
+static void pump_due(void *arg) {
+    struct rp_state_client *c = arg;
+    bool waiting = false;
+    for (int s = 0; s < RP_SHARES; s++) {
+        pump_share(c, (enum rp_state_share)s);
+        waiting |= c->first[s] != NULL;
+    }
+    if (waiting)
+        rp_timer_set(c->loop, &c->pump, 0.02);
+}
+
+static void enqueue(struct rp_state_call *call) {
+    struct rp_state_client *c = call->client;
+    if (!c->first[call->share] && may_send(c, call)) {
+        send_call(call);
+        return;
+    }
+    if (c->last[call->share])
+        c->last[call->share]->next = call;
+    else
+        c->first[call->share] = call;
+    c->last[call->share] = call;
+    if (!c->pump.place)
+        rp_timer_set(c->loop, &c->pump, 0.02);
+}
+
+/* Takes `body` over. */
+static void start(struct rp_state_client *c, enum rp_state_share share, const char *method,
+                  char *target, char *body, double timeout_s, unsigned writes, rp_state_fn fn,
+                  void *arg) {
+    struct rp_state_call *call = calloc(1, sizeof *call);
+    if (!call || !target)
+        abort(); /* out of memory: a restart is the honest answer */
+    *call = (struct rp_state_call){.client = c,
+                                   .share = share,
+                                   .method = strdup(method),
+                                   .target = target,
+                                   .body = body,
+                                   .timeout_s = timeout_s,
+                                   .writes = writes,
+                                   .queued = rp_loop_now(c->loop),
+                                   .fn = fn,
+                                   .arg = arg};
+    call->again = (struct rp_timer){.fn = again_due, .arg = call};
+    enqueue(call);
+}
+
+static char *format(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+static char *format(const char *fmt, ...) {
+    char *text;
+    va_list ap;
+    va_start(ap, fmt);
+    int n = vasprintf(&text, fmt, ap);
+    va_end(ap);
+    return n < 0 ? NULL : text;
+}
+
+void rp_state_get(struct rp_state_client *c, enum rp_state_share share, const char *key,
+                  rp_state_fn fn, void *arg) {
+    start(c, share, "GET", format("/kv/%s", key), NULL, ANSWER_S, 0, fn, arg);
+}
+
+void rp_state_list(struct rp_state_client *c, enum rp_state_share share, const char *prefix,
+                   const char *after, unsigned limit, rp_state_fn fn, void *arg) {
+    char *target = after ? format("/kv?prefix=%s&from=%s&limit=%u", prefix, after, limit)
+                         : format("/kv?prefix=%s&limit=%u", prefix, limit);
+    start(c, share, "GET", target, NULL, ANSWER_S * 2, 0, fn, arg);
+}
+
+void rp_state_txn(struct rp_state_client *c, enum rp_state_share share, json_t *txn, rp_state_fn fn,
+                  void *arg) {
+    unsigned writes = (unsigned)rp_wire_txn_ops(txn);
+    char *body = json_dumps(txn, JSON_COMPACT);
+    json_decref(txn);
+    start(c, share, "POST", format("/txn"), body, ANSWER_S, writes, fn, arg);
+}
+
+void rp_state_lease(struct rp_state_client *c, double ttl_s, rp_state_fn fn, void *arg) {
+    start(c, RP_SHARE_LEADERSHIP, "POST", format("/leases"), rp_wire_lease_request(ttl_s), ANSWER_S,
+          0, fn, arg);
+}
+
+void rp_state_touch(struct rp_state_client *c, uint64_t lease, rp_state_fn fn, void *arg) {
+    start(c, RP_SHARE_LEADERSHIP, "POST", format("/leases/%llu/touch", (unsigned long long)lease),
+          NULL, ANSWER_S, 0, fn, arg);
+}
+
+void rp_state_lease_end(struct rp_state_client *c, uint64_t lease, rp_state_fn fn, void *arg) {
+    start(c, RP_SHARE_LEADERSHIP, "DELETE", format("/leases/%llu", (unsigned long long)lease), NULL,
+          ANSWER_S, 0, fn, arg);
+}
+
+void rp_state_follow(struct rp_state_client *c, const char *prefix, uint64_t from, double hold_s,
+                     rp_state_fn fn, void *arg) {
+    start(c, RP_SHARE_LEADERSHIP, "GET",
+          format("/follow?prefix=%s&from=%llu&hold_ms=%d", prefix, (unsigned long long)from,
+                 (int)(hold_s * 1000)),
+          NULL, hold_s + ANSWER_S, 0, fn, arg);
+}
+
+double rp_state_room(struct rp_state_client *c, enum rp_state_share share) {
+    rp_bucket_fill(&c->writes[share], rp_loop_now(c->loop));
+    return c->first[share] ? 0 : c->writes[share].level;
+}
+
+double rp_state_failing_s(const struct rp_state_client *c) {
+    if (c->failing_since.tv_sec == 0 && c->failing_since.tv_nsec == 0)
+        return 0;
+    return rp_ts_since(rp_loop_now(c->loop), c->failing_since) + 1e-3;
+}
--- /dev/null
+++ b/src/workers.c
@@ -0,0 +1,359 @@
+#include "workers.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+#include "wire.h"
+
+/* Below the 64 KiB that a line of an answer may have, at some 90 bytes a command. */
+#define COMMANDS_MAX 400
+/* Drift of both clocks with room to spare, and the steps of timers. */
+#define LEASE_DRIFT 1.002
+#define LEASE_MARGIN_S 0.25
+
+void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
+                     struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                     const struct rp_settings *settings) {
+    memset(w, 0, sizeof *w);
+    w->loop = loop;
+    w->election = election;
+    w->picture = picture;
+    w->jobs = jobs;
+    w->fleet = fleet;
+    w->settings = settings;
+}
+
+double rp_workers_lease_s(const struct rp_settings *settings) {
+    return settings->lease_s * LEASE_DRIFT + LEASE_MARGIN_S;
+}
+
+static void respond(struct rp_request *req, int status, char *body) {
+    req->respond(req, status, body ? body : "{}", 0);
+    free(body);
+}
+
+static void not_here(struct rp_workers *w, struct rp_request *req) {
+    const struct rp_election *e = w->election;
+    bool other = e->at != RP_HOLDING && e->leader[0] && strcmp(e->leader, e->node) != 0;
+    respond(req, 421, rp_wire_not_here(other ? e->leader : NULL));
+}
+
+/* ---- reading the report into the picture ---- */
+
+static struct rp_place *find_place(struct rp_machine *m, const struct rp_job *job, uint32_t task,
+                                   uint64_t attempt) {
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        if (place->task == task && place->attempt == attempt && place->job == job)
+            return place;
+    }
+    return NULL;
+}
+
+static void add_foreign(struct rp_machine *m, const struct rp_task_report *t) {
+    if (!m->foreign)
+        m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
+    if (!m->foreign || m->n_foreign == RP_FOREIGN_KEPT)
+        return;
+    struct rp_foreign *f = &m->foreign[m->n_foreign++];
+    strcpy(f->job, t->job);
+    f->task = t->task;
+    f->attempt = t->attempt;
+    f->exited = t->state == RP_TASK_EXITED;
+}
+
+static void blame(struct rp_workers *w, struct rp_machine *m, struct rp_job *job) {
+    struct timespec now = rp_loop_now(w->loop);
+    unsigned kept = job->n_error_on < RP_JOB_ERRORS_KEPT ? job->n_error_on : RP_JOB_ERRORS_KEPT;
+    bool seen = false;
+    for (unsigned i = 0; i < kept; i++)
+        seen |= strcmp(job->error_on[i], m->name) == 0;
+    if (!seen && job->n_error_on < RP_JOB_ERRORS_KEPT)
+        strcpy(job->error_on[job->n_error_on++], m->name);
+    /* A job that fails on several machines is at fault itself: it is tried ever more rarely, and
+     * the machines are not blamed for it. */
+    if (job->n_error_on >= RP_JOB_ERRORS_KEPT) {
+        job->held_until = rp_ts_after(now, 30);
+        return;
+    }
+    job->held_until = rp_ts_after(now, 0.5);
+    m->errors_row++;
+    if (m->errors_row >= w->settings->tuning.faulty_after && !m->faulty) {
+        rp_info("machine %s is faulty: errors=%u, last job=%s", m->name, m->errors_row,
+                job->spec.id);
+        m->faulty = true;
+        for (struct rp_job *j = w->jobs->first; j; j = j->next)
+            for (unsigned i = 0; i < j->n_error_on; i++)
+                if (strcmp(j->error_on[i], m->name) == 0) {
+                    j->n_error_on--;
+                    if (i != j->n_error_on)
+                        strcpy(j->error_on[i], j->error_on[j->n_error_on]);
+                    break;
+                }
+    }
+}
+
+static void task_exited(struct rp_workers *w, struct rp_machine *m, struct rp_place *place) {
+    struct rp_job *job = place->job;
+    struct timespec now = rp_loop_now(w->loop);
+    bool ran = place->running.tv_sec != 0;
+    rp_debug("task %s/%u attempt=%llu exited on %s why=%d", job->spec.id, place->task,
+             (unsigned long long)place->attempt, m->name, (int)place->why);
+    switch (place->why) {
+    case RP_EXIT_DONE:
+        m->errors_row = 0;
+        if (ran)
+            rp_jobs_observe(w->jobs, job, rp_ts_since(now, place->running));
+        rp_jobs_task_done(w->jobs, job, place->task);
+        break;
+    case RP_EXIT_ERROR:
+        blame(w, m, job);
+        break;
+    case RP_EXIT_NO_ROOM:
+    case RP_EXIT_BUSY:
+    case RP_EXIT_UNKNOWN:
+        job->held_until = rp_ts_after(now, place->why == RP_EXIT_UNKNOWN ? 5 : 1);
+        break;
+    default:
+        break;
+    }
+}
+
+static void read_task(struct rp_workers *w, struct rp_machine *m, const struct rp_task_report *t) {
+    struct rp_job *job = rp_jobs_find(w->jobs, t->job);
+    if (!job || t->task >= job->spec.n_tasks) {
+        add_foreign(m, t);
+        return;
+    }
+    struct rp_place *place = find_place(m, job, t->task, t->attempt);
+    if (!place) {
+        if (t->state != RP_TASK_EXITED && job->where[t->task])
+            rp_error("task %s/%u may be in two places, one is %s", job->spec.id, t->task, m->name);
+        place = rp_place_add(w->picture, m, job, t->task, t->attempt, RP_PLACE_SEEN);
+    }
+    place->marked = true;
+    if (place->state == RP_PLACE_EXITED)
+        return;
+    if (t->state == RP_TASK_EXITED) {
+        rp_place_enter(w->picture, m, place, RP_PLACE_EXITED);
+        place->task_state = t->state;
+        place->why = t->why;
+        task_exited(w, m, place);
+        return;
+    }
+    rp_place_enter(w->picture, m, place, RP_PLACE_SEEN);
+    if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
+        job->n_running++;
+        place->running = rp_loop_now(w->loop);
+    } else if (t->state != RP_TASK_RUNNING && place->task_state == RP_TASK_RUNNING) {
+        job->n_running--;
+    }
+    if (t->state != RP_TASK_FETCHING && place->task_state == RP_TASK_FETCHING)
+        rp_machine_note_image(w->picture, m, job->spec.image, job->spec.image_gb);
+    place->task_state = t->state;
+    if (job->state != RP_JOB_OPEN || rp_job_task_done(job, t->task))
+        rp_place_stop(place, 0);
+}
+
+/* What the newest report doesn't name is not there: a start in an older answer was dropped, since
+ * a worker has one report in flight and never executes an answer it has stopped waiting for. */
+static void settle_missing(struct rp_workers *w, struct rp_machine *m, uint64_t seq) {
+    for (size_t i = m->n_places; i-- > 0;) {
+        struct rp_place *place = &m->places[i];
+        bool in_flight = place->state == RP_PLACE_SENT && place->sent_seq >= seq;
+        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight)
+            rp_place_drop(w->picture, m, i);
+    }
+}
+
+static void take_notice(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
+    if (!r->has_notice)
+        return;
+    if (!m->noticed)
+        rp_info("machine %s is taken back in %.1fs, places=%zu", m->name, r->notice_s, m->n_places);
+    m->noticed = true;
+    m->notice_end = rp_ts_after(rp_loop_now(w->loop), r->notice_s);
+    for (size_t i = m->n_places; i-- > 0;) {
+        struct rp_place *place = &m->places[i];
+        const struct rp_job_spec *spec = &place->job->spec;
+        if (place->state == RP_PLACE_PLANNED)
+            rp_place_drop(w->picture, m, i);
+        else if (place->task_state == RP_TASK_FETCHING || place->task_state == RP_TASK_WAITING)
+            rp_place_stop(place, 0);
+        else if (spec->checkpoint_s > 0)
+            rp_place_stop(place, spec->save_s * 1.5 + 1);
+    }
+}
+
+static void read_report(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
+    if (r->session > m->session && m->session > 0)
+        rp_machine_session_over(w->picture, m);
+    m->session = r->session;
+    m->seq = r->seq;
+    m->last_report = rp_loop_now(w->loop);
+    /* Late rather than early: the lease may have been renewed by an answer sent just now. */
+    m->held_until = rp_ts_after(m->last_report, rp_workers_lease_s(w->settings));
+    strcpy(m->addr, r->addr);
+    m->token_seen = r->token == w->election->token;
+    m->n_foreign = 0;
+    for (size_t i = 0; i < m->n_places; i++)
+        m->places[i].marked = false;
+    for (size_t i = 0; i < r->n_tasks; i++)
+        read_task(w, m, &r->tasks[i]);
+    settle_missing(w, m, r->seq);
+    take_notice(w, m, r);
+    /* Only a report that shows our token proves that no start of an earlier leader is still on
+     * its way; until then the machine may hold more than it says. */
+    if (m->state != RP_MACHINE_RETURNING && m->token_seen)
+        rp_machine_enter(w->picture, m, RP_MACHINE_UP);
+}
+
+/* ---- commands ---- */
+
+struct batch {
+    struct rp_command *list;
+    size_t n;
+};
+
+static void command(struct batch *b, enum rp_op op, const char *job, uint32_t task,
+                    uint64_t attempt, double grace_s) {
+    if (b->n == COMMANDS_MAX)
+        return;
+    struct rp_command *c = &b->list[b->n++];
+    c->op = op;
+    strcpy(c->job, job);
+    c->task = task;
+    c->attempt = attempt;
+    c->grace_s = grace_s;
+}
+
+static void command_foreign(struct batch *b, const struct rp_machine *m) {
+    for (size_t i = 0; i < m->n_foreign; i++) {
+        const struct rp_foreign *f = &m->foreign[i];
+        command(b, f->exited ? RP_OP_FORGET : RP_OP_STOP, f->job, f->task, f->attempt, 0);
+    }
+}
+
+/* Stops and removals: they can be repeated and late without harm. */
+static void command_ends(struct batch *b, struct rp_machine *m, struct timespec now) {
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        const char *job = place->job->spec.id;
+        if (place->state == RP_PLACE_EXITED) {
+            /* A result must be durable before the worker may lose it. */
+            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task))
+                command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
+        } else if (place->stop && place->state != RP_PLACE_PLANNED) {
+            bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
+            if (saving)
+                continue;
+            place->stop_sent = now;
+            command(b, RP_OP_STOP, job, place->task, place->attempt, place->grace_s);
+        }
+    }
+}
+
+static bool start_still_good(struct rp_workers *w, const struct rp_machine *m,
+                             const struct rp_place *place) {
+    return place->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
+           rp_picture_settled(w->picture) && rp_fleet_news_fresh(w->jobs);
+}
+
+static void command_starts(struct rp_workers *w, struct batch *b, struct rp_machine *m) {
+    for (size_t i = m->n_places; i-- > 0;) {
+        struct rp_place *place = &m->places[i];
+        if (place->state != RP_PLACE_PLANNED)
+            continue;
+        if (!start_still_good(w, m, place)) {
+            rp_place_drop(w->picture, m, i);
+            continue;
+        }
+        if (b->n == COMMANDS_MAX)
+            return;
+        command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
+        rp_place_enter(w->picture, m, place, RP_PLACE_SENT);
+        place->sent_seq = m->seq;
+        w->n_starts++;
+        rp_debug("start %s/%u attempt=%llu on %s", place->job->spec.id, place->task,
+                 (unsigned long long)place->attempt, m->name);
+    }
+}
+
+/* Every answer renews the machine's lease: from now on its tasks may live that much longer. */
+static void answer(struct rp_workers *w, struct rp_request *req, struct rp_machine *m,
+                   const struct batch *b) {
+    struct timespec now = rp_loop_now(w->loop);
+    if (!rp_election_valid(w->election, now)) {
+        not_here(w, req);
+        return;
+    }
+    if (m)
+        m->held_until = rp_ts_after(now, rp_workers_lease_s(w->settings));
+    respond(req, 200, rp_wire_report_answer(w->election->token, b ? b->list : NULL, b ? b->n : 0));
+}
+
+static struct rp_machine *machine_of(struct rp_workers *w, const struct rp_report *r) {
+    struct rp_machine *m = rp_machine_find(w->picture, r->machine);
+    if (!m) {
+        /* Nobody's record names it, so no leader has ever started anything on it. */
+        rp_info("machine %s reports and is in no record: adopted", r->machine);
+        m = rp_machine_add(w->picture, r->machine, RP_MACHINE_BOOTING);
+    }
+    rp_fleet_describe(w->fleet, m, r->type, r->zone, r->spot);
+    return m;
+}
+
+static void handle(struct rp_workers *w, struct rp_request *req, const struct rp_report *r) {
+    struct rp_machine *m = machine_of(w, r);
+    bool old = r->session < m->session || (r->session == m->session && r->seq <= m->seq);
+    if (old) {
+        w->n_stale++;
+        answer(w, req, m, NULL);
+        return;
+    }
+    size_t places = m->n_places;
+    bool was_up = m->state == RP_MACHINE_UP;
+    read_report(w, m, r);
+    if (!m->recorded)
+        rp_fleet_adopt(w->fleet, m);
+    if (m->state == RP_MACHINE_RETURNING) {
+        answer(w, req, m, NULL);
+        return;
+    }
+    if (w->on_room && (m->n_places < places || !was_up))
+        w->on_room(w->arg);
+    struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
+    if (!b.list) {
+        respond(req, 503, NULL);
+        return;
+    }
+    if (m->token_seen) {
+        command_foreign(&b, m);
+        command_ends(&b, m, rp_loop_now(w->loop));
+        command_starts(w, &b, m);
+    }
+    answer(w, req, m, &b);
+    free(b.list);
+}
+
+void rp_workers_report(struct rp_workers *w, struct rp_request *req) {
+    struct rp_report report;
+    w->n_reports++;
+    if (!w->ready || !rp_election_valid(w->election, rp_loop_now(w->loop))) {
+        not_here(w, req);
+        return;
+    }
+    if (!rp_wire_report(req->body, req->len, &report)) {
+        respond(req, 400, rp_wire_error("not a report"));
+        return;
+    }
+    if (rp_fleet_gone(w->fleet, report.machine)) {
+        respond(req, 503, rp_wire_error("this machine has been returned"));
+    } else if (report.token > w->election->token) {
+        rp_election_doubt(w->election);
+        respond(req, 503, rp_wire_error("a newer token is known"));
+    } else {
+        handle(w, req, &report);
+    }
+    rp_report_free(&report);
+}
