--- a/src/api.c
+++ b/src/api.c
@@ -36,6 +36,8 @@
 
 static void op_answer(struct op *op, int status, char *body, int retry_after) {
     op->state = OP_ANSWERED;
+    if (status == 400 || status == 422)
+        rp_info("submission %s refused with %d: %s", op->id, status, op->why);
     op->node->n_answers[status / 100 < 6 ? status / 100 : 0]++;
     op->req->respond(op->req, status, body ? body : "{}", retry_after);
     free(body);
--- a/src/election.c
+++ b/src/election.c
@@ -162,6 +162,14 @@
         rp_state_get(e->state, RP_SHARE_LEADERSHIP, RP_KEY_LEADER, doubted, e);
 }
 
+void rp_election_resign(struct rp_election *e) {
+    if (e->at != RP_HOLDING)
+        return;
+    rp_info("resigning");
+    rp_state_lease_end(e->state, e->lease, dropped, NULL);
+    follow_again(e, 2 * e->check_s);
+}
+
 static void tick(void *arg) {
     struct rp_election *e = arg;
     if (e->at == RP_HOLDING) {
--- a/src/election.h
+++ b/src/election.h
@@ -44,4 +44,7 @@
 /* Somebody shows a token above ours, or a guarded write failed: look at the key now. */
 void rp_election_doubt(struct rp_election *e);
 
+/* Gives the key up. */
+void rp_election_resign(struct rp_election *e);
+
 #endif
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -7,6 +7,7 @@
 
 #define PAGE 200
 #define FOLLOW_HOLD_S 3.0
+#define DEAF_S 14.0 /* without news from the watch */
 #define FLUSH_EVERY_S 0.25
 #define FLUSH_AGE_S 2.0 /* progress waits this long for company; a finished job never does */
 
@@ -526,6 +527,12 @@
         follow(t);
     if (!rp_election_valid(t->election, rp_loop_now(t->loop)))
         return;
+    /* A leader whose lease is renewed but who hears of no cancellation keeps cancelled tasks
+     * alive by its answers: somebody else has to lead. */
+    if (rp_jobs_stale_s(t) > DEAF_S) {
+        rp_election_resign(t->election);
+        return;
+    }
     for (struct rp_job *job = t->first; job; job = next) {
         next = job->next;
         if (job->state == RP_JOB_FINISHING)
--- a/src/main.c
+++ b/src/main.c
@@ -111,6 +111,7 @@
         mistakes++;
     }
     free(text);
+    rp_settings_complete(s);
     if (mistakes == 0)
         mistakes += rp_settings_check(s, stderr);
     return mistakes ? EXIT_USAGE : EXIT_OK;
--- a/src/model.h
+++ b/src/model.h
@@ -13,7 +13,8 @@
 #define RP_ZONES_MAX 32
 #define RP_TASKS_MAX 100000
 
-enum rp_kind { RP_ARRAY, RP_GANG };
+/* A service is an array whose tasks run until its user cancels it (docs/questions.md). */
+enum rp_kind { RP_ARRAY, RP_GANG, RP_SERVICE };
 enum rp_priority { RP_LOW, RP_NORMAL, RP_HIGH, RP_PRODUCTION };
 
 struct rp_resources {
--- a/src/settings.c
+++ b/src/settings.c
@@ -8,6 +8,9 @@
 #include "plan.h"
 #include "text_format.h"
 
+/* Workers drop a report's answer after this long. */
+#define LATE_COMMANDS_S 4.0
+
 struct reading {
     const char *file;
     FILE *errors;
@@ -224,7 +227,7 @@
     *t = (struct rp_tuning){.round_period_s = 10,
                             .billing_unit_s = 60,
                             .return_margin_s = 10,
-                            .leader_ttl_s = 9,
+                            .leader_ttl_s = 0, /* 0: chosen by rp_settings_complete */
                             .leader_check_s = 0.5,
                             .boot_patience = 3.5,
                             .refused_pause_s = 15,
@@ -305,7 +308,8 @@
     const struct range ranges[] = {{"round_period_s", t->round_period_s, 0.5, 60},
                                    {"billing_unit_s", t->billing_unit_s, 1, 86400},
                                    {"return_margin_s", t->return_margin_s, 0, 3600},
-                                   {"leader_ttl_s", t->leader_ttl_s, 1, 600},
+                                   {"leader_ttl_s", m->has_leader_ttl_s ? t->leader_ttl_s : 1, 1,
+                                    600},
                                    {"leader_check_s", t->leader_check_s, 0.1, 10},
                                    {"boot_patience", t->boot_patience, 1, 100},
                                    {"refused_pause_s", t->refused_pause_s, 0, 3600},
@@ -317,6 +321,17 @@
     return mistakes;
 }
 
+void rp_settings_complete(struct rp_settings *s) {
+    struct rp_tuning *t = &s->tuning;
+    if (t->leader_ttl_s > 0)
+        return;
+    /* Long, since a leader that can't renew must stop answering workers, and an outage of the
+     * state service must not cost their leases; but never so long that a change of leader would
+     * endanger the leases, or a cancellation's time. */
+    double most = fmin(0.65 * s->lease_s, 0.9 * (s->cancel_s - s->lease_s - LATE_COMMANDS_S));
+    t->leader_ttl_s = fmax(1, fmin(9, most));
+}
+
 int rp_settings_check(const struct rp_settings *s, FILE *errors) {
     const struct rp_tuning *t = &s->tuning;
     int mistakes = 0;
@@ -333,7 +348,7 @@
         mistakes++;
     }
     /* A cancelled task on a machine that can't be reached ends only with the machine's lease. */
-    if (s->cancel_s <= s->lease_s + t->leader_ttl_s + 4) {
+    if (s->cancel_s <= s->lease_s + t->leader_ttl_s + LATE_COMMANDS_S) {
         fprintf(errors,
                 "cancel_s (%g) must exceed lease_s + leader_ttl_s + 4 s, or a cancellation can't "
                 "be kept through a change of leader\n",
--- a/src/settings.h
+++ b/src/settings.h
@@ -67,6 +67,8 @@
 /* Each returns the number of mistakes, each told to `errors` in a line of its own. */
 int rp_settings_parse(struct rp_settings *s, const char *text, const char *file, FILE *errors);
 int rp_tuning_parse(struct rp_tuning *t, const char *text, const char *file, FILE *errors);
+/* Fills in what neither file says and depends on both. */
+void rp_settings_complete(struct rp_settings *s);
 /* What the two files say together: periods and time-outs that contradict one another. */
 int rp_settings_check(const struct rp_settings *s, FILE *errors);
 void rp_settings_free(struct rp_settings *s);
--- a/src/wire.c
+++ b/src/wire.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char *const kind_words[] = {"sweep", "ensemble"};
+static const char *const kind_words[] = {"sweep", "ensemble", "service"};
 static const char *const priority_words[] = {"low", "normal", "urgent", "critical"};
 static const char *const task_words[] = {"fetching", "waiting", "running", "flushing", "exited"};
 static const char *const exit_words[] = {"",      "done",    "halted", "peers",  "alone",
