--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,1118 @@
+#include "sim.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "wire.h"
+
+#define STEP_S 0.02
+#define CANCEL_S 39.0
+#define LEASE_S 14.0
+#define REPORT_S 2.0
+#define GANG_WAIT_S 40.0
+#define GANG_PEER_S 5.0
+
+enum event_kind { EV_REQUEST, EV_ANSWER, EV_REPORT, EV_REPORT_ANSWER, EV_USER };
+
+/* Something on its way. */
+struct sim_event {
+    enum event_kind kind;
+    double due;
+    int node;
+    unsigned long life;
+    char addr[64], method[8], *target, *body;
+    bool answered; /* nobody waits for the answer (any more) */
+    double deadline;
+    rp_answer_fn fn;
+    void *arg;
+    int status;
+    int worker; /* or job, for users */
+    uint64_t flight;
+    int user_op; /* 0 submit, 1 poll, 2 cancel */
+};
+
+static double uniform(struct sim *s) {
+    return gsl_rng_uniform(s->rng);
+}
+
+static bool chance(struct sim *s, double p) {
+    return p > 0 && uniform(s) < p;
+}
+
+static void broken(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+static void broken(struct sim *s, const char *fmt, ...) {
+    va_list ap;
+    if (s->broken[0])
+        return;
+    va_start(ap, fmt);
+    int n = snprintf(s->broken, sizeof s->broken, "%.2f: ", s->now);
+    vsnprintf(s->broken + n, sizeof s->broken - (size_t)n, fmt, ap);
+    va_end(ap);
+}
+
+static struct sim_event *event_new(struct sim *s, enum event_kind kind, double after) {
+    struct sim_event *e = calloc(1, sizeof *e);
+    if (!e || s->n_events == SIM_EVENTS)
+        abort();
+    e->kind = kind;
+    e->due = s->now + after;
+    s->events[s->n_events++] = e;
+    return e;
+}
+
+static void event_free(struct sim_event *e) {
+    free(e->target);
+    free(e->body);
+    free(e);
+}
+
+static double delay(struct sim *s) {
+    return 0.0005 + 0.004 * uniform(s) + (chance(s, 0.01) ? 0.3 * uniform(s) : 0);
+}
+
+/* ---- state service ---- */
+
+static struct sim_key *key_find(struct sim *s, const char *key) {
+    for (int i = 0; i < s->n_keys; i++)
+        if (strcmp(s->keys[i].key, key) == 0)
+            return &s->keys[i];
+    return NULL;
+}
+
+static void key_log(struct sim *s, const char *key, json_t *value) {
+    json_t *e = value ? json_pack("{s:s,s:O,s:I}", "write", key, "v", value, "key_rev",
+                                  (json_int_t)s->revision)
+                      : json_pack("{s:s,s:I}", "delete", key, "key_rev", (json_int_t)s->revision);
+    json_array_append_new(s->log, e);
+}
+
+static void key_delete(struct sim *s, struct sim_key *k) {
+    key_log(s, k->key, NULL);
+    free(k->key);
+    json_decref(k->value);
+    *k = s->keys[--s->n_keys];
+}
+
+static void key_put(struct sim *s, const char *key, json_t *value, uint64_t lease) {
+    struct sim_key *k = key_find(s, key);
+    if (!k) {
+        if (s->n_keys == SIM_KEYS)
+            abort();
+        k = &s->keys[s->n_keys++];
+        *k = (struct sim_key){.key = strdup(key)};
+    }
+    json_decref(k->value);
+    k->value = json_incref(value);
+    k->version = s->revision;
+    k->lease = lease;
+    key_log(s, key, value);
+}
+
+static void lease_expire(struct sim *s, struct sim_lease *l) {
+    s->revision++;
+    for (int i = s->n_keys; i-- > 0;)
+        if (s->keys[i].lease == l->id)
+            key_delete(s, &s->keys[i]);
+    l->id = 0;
+}
+
+static struct sim_lease *lease_find(struct sim *s, uint64_t id) {
+    for (int i = 0; id && i < SIM_LEASES; i++)
+        if (s->leases[i].id == id)
+            return &s->leases[i];
+    return NULL;
+}
+
+static int state_txn(struct sim *s, json_t *body, json_t **out) {
+    json_t *failed = json_array(), *v;
+    size_t i;
+    json_array_foreach(json_object_get(body, "when"), i, v) {
+        const char *path = json_string_value(json_object_get(v, "path"));
+        struct sim_key *k = key_find(s, path);
+        uint64_t want = (uint64_t)json_integer_value(json_object_get(v, "key_rev"));
+        if ((k ? k->version : 0) != want && s->breakage != SIM_STATE_IGNORES_CONDITIONS)
+            json_array_append_new(failed, json_string(path));
+    }
+    json_array_foreach(json_object_get(body, "then"), i, v) {
+        uint64_t lease = (uint64_t)json_integer_value(json_object_get(v, "lashing"));
+        if (lease && !lease_find(s, lease)) {
+            json_decref(failed);
+            *out = json_pack("{s:s}", "error", "no such lease");
+            return 400;
+        }
+    }
+    if (json_array_size(failed)) {
+        *out = json_pack("{s:o,s:I}", "failed", failed, "ledger_rev", (json_int_t)s->revision);
+        return 409;
+    }
+    json_decref(failed);
+    if (json_array_size(json_object_get(body, "then")))
+        s->revision++;
+    json_array_foreach(json_object_get(body, "then"), i, v) {
+        const char *put = json_string_value(json_object_get(v, "write"));
+        const char *gone = json_string_value(json_object_get(v, "delete"));
+        if (put)
+            key_put(s, put, json_object_get(v, "v"),
+                    (uint64_t)json_integer_value(json_object_get(v, "lashing")));
+        else if (key_find(s, gone))
+            key_delete(s, key_find(s, gone));
+    }
+    *out = json_pack("{s:I}", "ledger_rev", (json_int_t)s->revision);
+    return 200;
+}
+
+static int state_lease(struct sim *s, const char *method, const char *rest, json_t *body,
+                       json_t **out) {
+    if (!*rest) {
+        struct sim_lease *l = NULL;
+        for (int i = 0; i < SIM_LEASES && !l; i++)
+            if (!s->leases[i].id)
+                l = &s->leases[i];
+        if (!l)
+            abort();
+        l->id = ++s->next_lease;
+        l->ttl = (double)json_integer_value(json_object_get(body, "ttl_ms")) / 1000;
+        l->ends = s->now + l->ttl;
+        *out = json_pack("{s:I}", "lashing", (json_int_t)l->id);
+        return 200;
+    }
+    struct sim_lease *l = lease_find(s, strtoull(rest + 1, NULL, 10));
+    if (!l)
+        return 404;
+    if (strcmp(method, "DELETE") == 0)
+        lease_expire(s, l);
+    else
+        l->ends = s->now + l->ttl;
+    return 200;
+}
+
+static int by_key(const void *a, const void *b) {
+    const struct sim_key *x = *(struct sim_key *const *)a, *y = *(struct sim_key *const *)b;
+    return strcmp(x->key, y->key);
+}
+
+static const char *param(const char *target, const char *name, char *out, size_t size) {
+    const char *at = strstr(target, name);
+    size_t n = 0;
+    if (at)
+        for (at += strlen(name); at[n] && at[n] != '&' && n + 1 < size; n++)
+            out[n] = at[n];
+    out[n] = '\0';
+    return at ? out : NULL;
+}
+
+static json_t *state_list(struct sim *s, const char *target) {
+    struct sim_key *found[SIM_KEYS];
+    char prefix[256], from[256], limit[32];
+    int n = 0;
+    json_t *rows = json_array();
+    param(target, "prefix=", prefix, sizeof prefix);
+    bool after = param(target, "&from=", from, sizeof from) != NULL;
+    size_t most = param(target, "limit=", limit, sizeof limit) ? strtoul(limit, NULL, 10) : 1000;
+    for (int i = 0; i < s->n_keys; i++)
+        if (strncmp(s->keys[i].key, prefix, strlen(prefix)) == 0 &&
+            (!after || strcmp(s->keys[i].key, from) > 0))
+            found[n++] = &s->keys[i];
+    qsort(found, (size_t)n, sizeof found[0], by_key);
+    for (int i = 0; i < n && (size_t)i < most; i++)
+        json_array_append_new(rows, json_pack("{s:s,s:O,s:I}", "path", found[i]->key, "v",
+                                              found[i]->value, "key_rev",
+                                              (json_int_t)found[i]->version));
+    return json_pack("{s:o,s:b,s:I}", "rows", rows, "has_next", (size_t)n > most, "ledger_rev",
+                     (json_int_t)s->revision);
+}
+
+static json_t *state_news(struct sim *s, const char *target) {
+    char prefix[256], from[32];
+    json_t *log = json_array(), *e;
+    size_t i;
+    param(target, "prefix=", prefix, sizeof prefix);
+    param(target, "from=", from, sizeof from);
+    json_int_t since = (json_int_t)strtoll(from, NULL, 10);
+    json_array_foreach(s->log, i, e) {
+        const char *key = json_string_value(json_object_get(e, "write"));
+        key = key ? key : json_string_value(json_object_get(e, "delete"));
+        if (json_integer_value(json_object_get(e, "key_rev")) > since &&
+            strncmp(key, prefix, strlen(prefix)) == 0)
+            json_array_append(log, e);
+    }
+    return json_pack("{s:I,s:o}", "ledger_rev", (json_int_t)s->revision, "log", log);
+}
+
+static int state_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
+    if (s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until)
+        return 503;
+    if (strcmp(e->target, "/txn") == 0)
+        return state_txn(s, body, out);
+    if (strncmp(e->target, "/leases", 7) == 0)
+        return state_lease(s, e->method, e->target + 7, body, out);
+    if (strncmp(e->target, "/kv?", 4) == 0) {
+        *out = state_list(s, e->target);
+        return 200;
+    }
+    struct sim_key *k = key_find(s, e->target + 4);
+    if (!k) {
+        *out = json_pack("{s:I}", "ledger_rev", (json_int_t)s->revision);
+        return 404;
+    }
+    *out = json_pack("{s:s,s:O,s:I}", "path", k->key, "v", k->value, "key_rev",
+                     (json_int_t)k->version);
+    return 200;
+}
+
+/* ---- cloud ---- */
+
+static const struct {
+    const char *name;
+    double cpus, gpus, memory, price, spot_price, boot;
+} sim_types[] = {{"small", 8, 0, 32, 0.36, 0.11, 8}, {"wide", 32, 0, 128, 1.5, 0.45, 12}};
+static const char *const sim_zones[] = {"a", "b"};
+#define SIM_CAPACITY 6 /* machines of a type in a zone, ordinary or spot */
+
+static json_t *cloud_catalog(void) {
+    json_t *list = json_array();
+    for (int i = 0; i < 2; i++)
+        json_array_append_new(
+            list, json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s,s]}", "name",
+                            sim_types[i].name, "vcpus", sim_types[i].cpus, "cards",
+                            sim_types[i].gpus, "memory_gb", sim_types[i].memory, "cache_gb", 50.0,
+                            "fetch_gb_per_s", 1.0, "price", sim_types[i].price, "market_price",
+                            sim_types[i].spot_price, "boot_s", sim_types[i].boot, "yards", "a",
+                            "b"));
+    return json_pack("{s:o}", "frames", list);
+}
+
+static int cloud_rent(struct sim *s, json_t *body, json_t **out) {
+    const char *request = json_string_value(json_object_get(body, "hire"));
+    json_t *known = json_object_get(s->rentals, request);
+    if (known) {
+        *out = json_incref(known);
+        return 200;
+    }
+    int type = strcmp(json_string_value(json_object_get(body, "frame")), "small") ? 1 : 0;
+    int zone = strcmp(json_string_value(json_object_get(body, "yard")), "a") ? 1 : 0;
+    bool spot = json_is_true(json_object_get(body, "loaners"));
+    int left = SIM_CAPACITY, count = (int)json_integer_value(json_object_get(body, "count"));
+    for (int i = 0; i < SIM_WORKERS; i++)
+        left -= s->workers[i].used && s->workers[i].alive && s->workers[i].type == type &&
+                s->workers[i].zone == zone && s->workers[i].spot == spot;
+    json_t *names = json_array();
+    for (int i = 0; i < SIM_WORKERS && count > 0 && left > 0; i++) {
+        struct sim_worker *w = &s->workers[i];
+        if (w->used)
+            continue;
+        *w = (struct sim_worker){.used = true, .alive = true, .type = type, .zone = zone};
+        w->spot = spot;
+        w->rented = s->now;
+        w->boots = s->now + sim_types[type].boot * (0.3 + 1.2 * uniform(s));
+        snprintf(w->name, sizeof w->name, "vm-%06d", s->next_machine++);
+        json_array_append_new(names, json_string(w->name));
+        count--;
+        left--;
+    }
+    if (json_array_size(names) == 0) {
+        json_decref(names);
+        *out = json_pack("{s:s}", "error", "no capacity");
+        return 503;
+    }
+    *out = json_pack("{s:o}", "sheaves", names);
+    json_object_set(s->rentals, request, *out);
+    return 200;
+}
+
+static int cloud_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
+    json_t *list, *name;
+    size_t i;
+    if (strcmp(e->target, RP_PATH_TYPES) == 0) {
+        *out = cloud_catalog();
+        return 200;
+    }
+    if (strcmp(e->target, RP_PATH_DELETE) == 0) {
+        json_array_foreach(json_object_get(body, "sheaves"), i, name) {
+            for (int w = 0; w < SIM_WORKERS; w++)
+                if (s->workers[w].used &&
+                    strcmp(s->workers[w].name, json_string_value(name)) == 0)
+                    s->workers[w].used = s->workers[w].alive = false;
+        }
+        return 200;
+    }
+    if (strcmp(e->method, "POST") == 0)
+        return cloud_rent(s, body, out);
+    list = json_array();
+    for (int w = 0; w < SIM_WORKERS; w++) {
+        const struct sim_worker *m = &s->workers[w];
+        if (m->used && m->rented < s->now - 3)
+            json_array_append_new(
+                list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "ref", m->name, "address",
+                                m->name, "frame", sim_types[m->type].name, "yard",
+                                sim_zones[m->zone], "loaners", m->spot, "tension",
+                                !m->alive ? "failed" : m->up ? "running" : "booting", "age_s",
+                                s->now - m->rented));
+    }
+    *out = json_pack("{s:o,s:b}", "sheaves", list, "has_next", 0);
+    return 200;
+}
+
+/* ---- workers ---- */
+
+static int job_index(const struct sim *s, const char *id) {
+    for (int i = 0; i < s->n_jobs; i++)
+        if (strcmp(s->jobs[i].spec.id, id) == 0)
+            return i;
+    return -1;
+}
+
+static bool on_machine(const struct sim_task *t) {
+    return t->state == RP_TASK_WAITING || t->state == RP_TASK_RUNNING ||
+           t->state == RP_TASK_SAVING;
+}
+
+static void check_start(struct sim *s, const struct sim_worker *w, const struct sim_task *t) {
+    const struct sim_job *job = &s->jobs[t->job_index];
+    const struct rp_job_spec *spec = &job->spec;
+    double cpus = 0;
+    s->n_starts++;
+    if (job->told_cancelled && s->now > job->cancelled_at + CANCEL_S)
+        broken(s, "ran_cancelled: %s/%u starts", t->job, t->index);
+    if (w->spot && !spec->spot)
+        broken(s, "wrong_place: %s/%u on a spot machine", t->job, t->index);
+    if (*spec->zone && strcmp(spec->zone, sim_zones[w->zone]) != 0)
+        broken(s, "wrong_place: %s/%u in zone %s", t->job, t->index, sim_zones[w->zone]);
+    for (int i = 0; i < SIM_WORKERS; i++)
+        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
+             k++) {
+            const struct sim_task *o = &s->workers[i].tasks[k];
+            if (!on_machine(o))
+                continue;
+            cpus += s->jobs[o->job_index].spec.each.cpus;
+            if (o == t || o->job_index != t->job_index)
+                continue;
+            if (o->index == t->index)
+                broken(s, "ran_twice: %s/%u on %s and %s", t->job, t->index, w->name,
+                       s->workers[i].name);
+            if (spec->one_zone && s->workers[i].zone != w->zone)
+                broken(s, "wrong_place: %s/%u in two zones", t->job, t->index);
+        }
+    if (cpus > s->settings[0].teams[0].cpus_max + 1e-6)
+        broken(s, "quota: %.1f CPUs in use", cpus);
+}
+
+static void task_exit(struct sim_worker *w, struct sim_task *t, const char *why) {
+    t->state = RP_TASK_EXITED;
+    t->why = why;
+    w->changed = true;
+}
+
+static void worker_start(struct sim *s, struct sim_worker *w, const char *job, uint32_t index,
+                         uint64_t attempt) {
+    struct sim_task *t = NULL;
+    double cpus = 0, memory = 0;
+    int j = job_index(s, job);
+    bool busy = false;
+    for (int i = 0; i < w->n_tasks; i++) {
+        t = &w->tasks[i];
+        if (strcmp(t->job, job) == 0 && t->index == index) {
+            if (t->attempt == attempt)
+                return;
+            busy |= t->state != RP_TASK_EXITED;
+        }
+        if (t->state != RP_TASK_EXITED) {
+            cpus += s->jobs[t->job_index].spec.each.cpus;
+            memory += s->jobs[t->job_index].spec.each.memory_gb;
+        }
+    }
+    if (w->n_tasks == SIM_TASKS || j < 0)
+        return;
+    t = &w->tasks[w->n_tasks++];
+    *t = (struct sim_task){.index = index, .attempt = attempt, .job_index = j};
+    strcpy(t->job, job);
+    w->changed = true;
+    if (busy)
+        task_exit(w, t, "in_use");
+    else if (cpus + s->jobs[j].spec.each.cpus > sim_types[w->type].cpus + 1e-6 ||
+             memory + s->jobs[j].spec.each.memory_gb > sim_types[w->type].memory + 1e-6)
+        task_exit(w, t, "no_room");
+    else
+        t->ready = s->now + 0.5 + uniform(s);
+}
+
+static void worker_stop(struct sim *s, struct sim_worker *w, struct sim_task *t, double grace) {
+    const struct rp_job_spec *spec = &s->jobs[t->job_index].spec;
+    if (s->breakage == SIM_WORKERS_IGNORE_STOPS || t->state == RP_TASK_EXITED)
+        return;
+    if (t->state == RP_TASK_RUNNING && spec->checkpoint_s > 0 && grace >= spec->save_s) {
+        t->state = RP_TASK_SAVING;
+        t->ready = s->now + spec->save_s;
+        w->changed = true;
+    } else if (t->state != RP_TASK_SAVING || grace == 0) {
+        task_exit(w, t, "halted");
+    }
+}
+
+static void worker_command(struct sim *s, struct sim_worker *w, json_t *c) {
+    const char *op = json_string_value(json_object_get(c, "signal"));
+    const char *name = json_string_value(json_object_get(c, "lift"));
+    uint64_t attempt = (uint64_t)json_integer_value(json_object_get(c, "pull"));
+    char job[RP_ID_MAX] = "";
+    const char *slash = strchr(name, '/');
+    memcpy(job, name, (size_t)(slash - name));
+    uint32_t index = (uint32_t)strtoul(slash + 1, NULL, 10);
+    if (strcmp(op, "run") == 0) {
+        worker_start(s, w, job, index, attempt);
+        return;
+    }
+    for (int i = 0; i < w->n_tasks; i++) {
+        struct sim_task *t = &w->tasks[i];
+        if (strcmp(t->job, job) != 0 || t->index != index || t->attempt != attempt)
+            continue;
+        if (strcmp(op, "halt") == 0) {
+            worker_stop(s, w, t, json_number_value(json_object_get(c, "ease_s")));
+        } else if (t->state == RP_TASK_EXITED) {
+            *t = w->tasks[--w->n_tasks];
+        }
+        return;
+    }
+}
+
+static void worker_commands(struct sim *s, struct sim_worker *w, json_t *body) {
+    json_t *list = json_object_get(body, "signals"), *c;
+    size_t i;
+    json_array_foreach(list, i, c) {
+        worker_command(s, w, c);
+    }
+}
+
+static bool worker_takes_token(struct sim_worker *w, json_t *body) {
+    uint64_t token = (uint64_t)json_integer_value(json_object_get(body, "warrant"));
+    if (!json_object_get(body, "warrant") || token < w->token)
+        return false;
+    if (token > w->token)
+        w->changed = true;
+    w->token = token;
+    return true;
+}
+
+static json_t *worker_report(struct sim_worker *w) {
+    static const char *const words[] = {"fetching", "waiting", "running", "flushing", "exited"};
+    json_t *tasks = json_array();
+    for (int i = 0; i < w->n_tasks; i++) {
+        const struct sim_task *t = &w->tasks[i];
+        char name[80];
+        snprintf(name, sizeof name, "%s/%u", t->job, t->index);
+        json_t *v = json_pack("{s:s,s:I,s:s}", "lift", name, "pull", (json_int_t)t->attempt,
+                              "tension", words[t->state]);
+        if (t->why)
+            json_object_set_new(v, "slack_reason", json_string(t->why));
+        if (t->saved)
+            json_object_set_new(v, "stored", json_true());
+        json_array_append_new(tasks, v);
+    }
+    w->seq++;
+    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "sheave", w->name, "address",
+                     w->name, "frame", sim_types[w->type].name, "yard", sim_zones[w->zone],
+                     "loaners", w->spot, "stint", (json_int_t)w->session, "tick",
+                     (json_int_t)w->seq, "warrant", (json_int_t)w->token, "recall_s", "lifts",
+                     tasks);
+}
+
+/* Members of the gang attempt that are in one of the states; `lost` when fewer than all live. */
+static int gang_members(const struct sim *s, const struct sim_task *t, bool ready_only) {
+    int n = 0;
+    for (int i = 0; i < SIM_WORKERS; i++)
+        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
+             k++) {
+            const struct sim_task *o = &s->workers[i].tasks[k];
+            if (o->job_index == t->job_index && o->attempt == t->attempt &&
+                (on_machine(o) || (!ready_only && o->state == RP_TASK_FETCHING) ||
+                 (o->why && strcmp(o->why, "done") == 0)))
+                n++;
+        }
+    return n;
+}
+
+static void task_step(struct sim *s, struct sim_worker *w, struct sim_task *t) {
+    struct sim_job *job = &s->jobs[t->job_index];
+    bool gang = job->spec.kind == RP_GANG;
+    switch (t->state) {
+    case RP_TASK_FETCHING:
+        if (s->now < t->ready)
+            break;
+        t->state = gang ? RP_TASK_WAITING : RP_TASK_RUNNING;
+        t->began = t->ready = s->now;
+        w->changed = true;
+        check_start(s, w, t);
+        break;
+    case RP_TASK_WAITING:
+        if (gang_members(s, t, true) == (int)job->spec.n_tasks) {
+            t->state = RP_TASK_RUNNING;
+            t->began = s->now;
+            w->changed = true;
+        } else if (s->now > t->ready + GANG_WAIT_S) {
+            task_exit(w, t, "alone");
+        }
+        break;
+    case RP_TASK_RUNNING:
+        if (gang && s->now > t->began + GANG_PEER_S &&
+            gang_members(s, t, false) < (int)job->spec.n_tasks) {
+            task_exit(w, t, "peers");
+        } else if (job->done[t->index] || s->now > t->began + job->spec.estimate_s) {
+            if (job->faulty || (!job->done[t->index] && chance(s, s->faults.task_error))) {
+                task_exit(w, t, "error");
+                break;
+            }
+            job->done[t->index] = true;
+            if (gang)
+                for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+                    job->done[i] = true;
+            task_exit(w, t, "done");
+        }
+        break;
+    case RP_TASK_SAVING:
+        if (s->now >= t->ready) {
+            t->saved = true;
+            task_exit(w, t, "halted");
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+static void worker_send(struct sim *s, int index) {
+    struct sim_worker *w = &s->workers[index];
+    struct sim_event *e = event_new(s, EV_REPORT, delay(s));
+    json_t *report = worker_report(w);
+    e->body = json_dumps(report, JSON_COMPACT);
+    json_decref(report);
+    e->worker = index;
+    e->node = w->node;
+    e->flight = ++w->flight;
+    w->in_flight = true;
+    w->changed = false;
+    w->sent = s->now;
+    if (chance(s, s->faults.lose))
+        e->due = s->now + 1e9;
+    else if (chance(s, s->faults.late))
+        e->due = s->now + 5 + 60 * uniform(s);
+    if (chance(s, s->faults.repeat)) {
+        struct sim_event *copy = event_new(s, EV_REPORT, 0.1 + 40 * uniform(s));
+        copy->body = strdup(e->body);
+        copy->worker = index;
+        copy->node = e->node;
+        copy->flight = 0;
+    }
+}
+
+static void worker_step(struct sim *s, int index) {
+    struct sim_worker *w = &s->workers[index];
+    if (!w->used || !w->alive)
+        return;
+    if (!w->up) {
+        if (s->now < w->boots)
+            return;
+        w->up = true;
+        w->session = 1;
+        w->answered_sent = s->now;
+        w->next = s->now;
+        w->node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+    }
+    /* The lease ends by the worker's clock whether the machine hangs or not. */
+    if (s->now > w->answered_sent + LEASE_S) {
+        if (s->breakage != SIM_WORKERS_KEEP_TASKS)
+            w->n_tasks = 0;
+        w->session++;
+        w->answered_sent = s->now;
+    }
+    if (s->now < w->hung_until)
+        return;
+    for (int i = 0; i < w->n_tasks; i++)
+        task_step(s, w, &w->tasks[i]);
+    if (w->in_flight && s->now > w->sent + 4) {
+        w->in_flight = false;
+        w->node = (w->node + 1) % SIM_NODES;
+        w->next = s->now + 1;
+    }
+    if (!w->in_flight && (s->now >= w->next || (w->changed && s->now > w->sent + 0.5)))
+        worker_send(s, index);
+}
+
+static void report_answered(struct sim *s, const struct sim_event *e) {
+    struct sim_worker *w = &s->workers[e->worker];
+    if (!w->used || !w->alive || !w->in_flight || e->flight != w->flight || s->now > w->sent + 4 ||
+        s->now < w->hung_until)
+        return;
+    w->in_flight = false;
+    w->next = s->now + 1;
+    json_t *body = json_loads(e->body ? e->body : "{}", 0, NULL);
+    if (e->status == 200) {
+        w->next = w->sent + REPORT_S * (0.75 + 0.5 * uniform(s));
+        if (worker_takes_token(w, body)) {
+            w->answered_sent = w->sent;
+            worker_commands(s, w, body);
+        }
+    } else {
+        const char *leader = json_string_value(json_object_get(body, "foreman"));
+        int node = leader && e->status == 421 ? atoi(leader + strlen("n")) : -1;
+        w->node = node >= 0 && node != w->node ? node : (w->node + 1) % SIM_NODES;
+        if (node >= 0)
+            w->next = s->now + 0.2;
+    }
+    json_decref(body);
+}
+
+/* ---- nodes and the network between ---- */
+
+struct sim_request {
+    struct rp_request req;
+    struct sim *sim;
+    enum event_kind answer;
+    int node;
+    unsigned long life;
+    int worker;
+    uint64_t flight;
+    int user_op;
+    char *body;
+};
+
+static void request_respond(struct rp_request *req, int status, const char *body, int retry) {
+    struct sim_request *r = (struct sim_request *)(void *)req;
+    struct sim *s = r->sim;
+    (void)retry;
+    if (r->flight || r->answer == EV_USER) {
+        struct sim_event *e = event_new(s, r->answer, delay(s));
+        e->status = status;
+        e->body = strdup(body);
+        e->worker = r->worker;
+        e->flight = r->flight;
+        e->user_op = r->user_op;
+        if (chance(s, s->faults.lose))
+            e->due += r->answer == EV_USER ? 0 : 1e9;
+    }
+    free(r->body);
+    free(r);
+}
+
+static void node_receive(struct sim *s, int node, const char *method, const char *target,
+                         const char *body, enum event_kind answer, int worker, uint64_t flight,
+                         int user_op) {
+    struct sim_node *n = &s->nodes[node];
+    if (!n->alive || s->now < n->stalled_until)
+        return;
+    struct sim_request *r = calloc(1, sizeof *r);
+    if (!r)
+        abort();
+    r->sim = s;
+    r->answer = answer;
+    r->node = node;
+    r->worker = worker;
+    r->flight = flight;
+    r->user_op = user_op;
+    r->body = strdup(body ? body : "");
+    r->req = (struct rp_request){.method = method,
+                                 .target = target,
+                                 .body = r->body,
+                                 .len = strlen(r->body),
+                                 .respond = request_respond};
+    rp_node_client_request(n->node, &r->req);
+}
+
+struct sim_line {
+    struct sim *sim;
+    int node;
+    unsigned long life;
+};
+
+/* A node's call into the world. */
+static void line_call(void *ctx, const char *addr, const char *method, const char *target,
+                      const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    struct sim_line *line = ctx;
+    struct sim *s = line->sim;
+    struct sim_event *e = event_new(s, EV_REQUEST, delay(s));
+    e->node = line->node;
+    e->life = line->life;
+    snprintf(e->addr, sizeof e->addr, "%s", addr);
+    snprintf(e->method, sizeof e->method, "%s", method);
+    e->target = strdup(target);
+    e->body = body ? strdup(body) : NULL;
+    e->deadline = s->now + timeout_s;
+    e->fn = fn;
+    e->arg = arg;
+    bool watch = strncmp(target, "/follow", 7) == 0;
+    if (chance(s, s->faults.repeat) && strcmp(method, "GET") != 0 &&
+        strcmp(target, "/leases") != 0) {
+        struct sim_event *copy = event_new(s, EV_REQUEST, 0.05 + 30 * uniform(s));
+        *copy = (struct sim_event){.kind = EV_REQUEST, .due = copy->due, .answered = true};
+        copy->node = e->node;
+        strcpy(copy->addr, addr);
+        strcpy(copy->method, method);
+        copy->target = strdup(target);
+        copy->body = body ? strdup(body) : NULL;
+    }
+    if (!watch && chance(s, s->faults.lose))
+        e->due = e->deadline; /* never carried out: the time-out answers */
+    else if (!watch && chance(s, s->faults.late))
+        e->due = s->now + timeout_s + 30 * uniform(s);
+}
+
+static void answer_call(struct sim *s, struct sim_event *e, int status, json_t *out) {
+    struct sim_node *n = &s->nodes[e->node];
+    char *text = out ? json_dumps(out, JSON_COMPACT) : NULL;
+    struct rp_answer answer = {
+        .status = status, .body = text ? text : "", .len = text ? strlen(text) : 0};
+    e->answered = true;
+    if (n->alive && n->life == e->life)
+        e->fn(e->arg, &answer);
+    free(text);
+}
+
+static void time_out(struct sim *s, struct sim_event *e) {
+    if (!e->answered)
+        answer_call(s, e, 0, NULL);
+}
+
+/* Returns true when the event is over. */
+static bool request_arrives(struct sim *s, struct sim_event *e) {
+    json_t *out = NULL, *body;
+    int status;
+    bool watch = strncmp(e->target, "/follow", 7) == 0;
+    if (!e->answered && s->nodes[e->node].alive && s->now < s->nodes[e->node].stalled_until) {
+        e->due = s->now + 0.1; /* the node takes no answer just now */
+        return false;
+    }
+    if (watch) {
+        bool cut = s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until;
+        out = cut ? NULL : state_news(s, e->target);
+        if (s->now < e->deadline - 1.5 && (!out || !json_array_size(json_object_get(out, "log")))) {
+            json_decref(out);
+            e->due = s->now + STEP_S;
+            return false;
+        }
+        answer_call(s, e, out ? 200 : 503, out);
+        json_decref(out);
+        return true;
+    }
+    if (!e->answered && s->now >= e->deadline && chance(s, 0.5)) {
+        time_out(s, e);
+        return true;
+    }
+    if (!e->answered && s->now >= e->deadline)
+        time_out(s, e);
+    body = e->body ? json_loads(e->body, 0, NULL) : NULL;
+    if (strcmp(e->addr, "state") == 0)
+        status = state_request(s, e, body, &out);
+    else if (strcmp(e->addr, "cloud") == 0)
+        status = cloud_request(s, e, body, &out);
+    else
+        status = 404;
+    if (!e->answered) {
+        if (chance(s, s->faults.lose))
+            time_out(s, e);
+        else
+            answer_call(s, e, status, out);
+    }
+    json_decref(out);
+    json_decref(body);
+    return true;
+}
+
+static void node_start(struct sim *s, int index) {
+    struct sim_node *n = &s->nodes[index];
+    struct sim_line *line = calloc(1, sizeof *line);
+    n->node = calloc(1, sizeof *n->node);
+    if (!n->node || !line)
+        abort();
+    *line = (struct sim_line){.sim = s, .node = index, .life = ++n->life};
+    n->alive = true;
+    n->drift = 1.0 + 0.0005 * uniform(s);
+    n->offset = 100 + 1000 * uniform(s) - s->now * n->drift;
+    rp_loop_init(&n->loop, true);
+    n->loop.virtual_now = rp_ts(n->offset + s->now * n->drift);
+    struct rp_net net = {.ctx = line, .call = line_call};
+    if (rp_node_init(n->node, &n->loop, net, &s->settings[index]) < 0)
+        abort();
+    rp_node_start(n->node);
+}
+
+void sim_crash(struct sim *s, int node, double back_s) {
+    struct sim_node *n = &s->nodes[node];
+    if (!n->alive)
+        return;
+    /* What the process held is gone with it; requests under way are leaked on purpose, as the
+     * node's call-backs must never run again. */
+    n->alive = false;
+    rp_node_close(n->node);
+    rp_loop_close(&n->loop);
+    n->back = s->now + back_s;
+}
+
+int sim_leader(const struct sim *s) {
+    for (int i = 0; i < SIM_NODES; i++)
+        if (s->nodes[i].alive && s->nodes[i].node->at == RP_NODE_LEADING)
+            return i;
+    return -1;
+}
+
+static void node_step(struct sim *s, int index) {
+    struct sim_node *n = &s->nodes[index];
+    if (!n->alive) {
+        if (s->now >= n->back)
+            node_start(s, index);
+        return;
+    }
+    if (s->now >= n->stalled_until)
+        rp_loop_advance(&n->loop, rp_ts(n->offset + s->now * n->drift));
+}
+
+/* ---- users ---- */
+
+static void user_send(struct sim *s, int job, int op) {
+    static const char *const ends[] = {"", "", "/cancel"};
+    char target[128];
+    int node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+    snprintf(target, sizeof target, op == 0 ? "/v1/jobs%.0s%.0s" : "/v1/jobs/%s%s",
+             s->jobs[job].spec.id, ends[op]);
+    node_receive(s, node, op == 1 ? "GET" : "POST", target, op == 0 ? s->jobs[job].body : "",
+                 EV_USER, job, 0, op);
+}
+
+static void check_done(struct sim *s, const struct sim_job *job) {
+    for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+        if (!job->done[i])
+            broken(s, "not_done: %s/%u", job->spec.id, i);
+}
+
+static void user_answered(struct sim *s, const struct sim_event *e) {
+    struct sim_job *job = &s->jobs[e->worker];
+    json_t *body = json_loads(e->body, 0, NULL);
+    const char *word = json_string_value(json_object_get(body, "tension"));
+    if (e->status == 404 && job->accepted)
+        broken(s, "forgotten: %s gets 404", job->spec.id);
+    if ((e->status == 400 || e->status == 422) && job->accepted)
+        broken(s, "forgotten: %s gets %d", job->spec.id, e->status);
+    if (word) {
+        if (!job->accepted)
+            job->accepted_at = s->now;
+        job->accepted = true;
+        if (strcmp(word, "done") == 0) {
+            if (job->told_cancelled)
+                broken(s, "went_back: %s", job->spec.id);
+            check_done(s, job);
+            s->n_done_jobs += !job->told_done;
+            job->told_done = true;
+        } else if (strcmp(word, "aborted") == 0) {
+            if (job->told_done || !job->cancel_asked)
+                broken(s, "went_back: %s cancelled", job->spec.id);
+            if (!job->told_cancelled)
+                job->cancelled_at = s->now;
+            job->told_cancelled = true;
+        } else if (job->told_done || job->told_cancelled) {
+            broken(s, "went_back: %s is %s", job->spec.id, word);
+        }
+    }
+    json_decref(body);
+}
+
+static void user_step(struct sim *s, int index) {
+    struct sim_job *job = &s->jobs[index];
+    if (s->now < job->submit_at)
+        return;
+    if (!job->accepted || chance(s, 0.0002)) {
+        if (!job->accepted)
+            job->submit_at = s->now + 1;
+        user_send(s, index, 0);
+        return;
+    }
+    if (job->cancel_at > 0 && s->now > job->cancel_at && !job->told_cancelled && !job->told_done) {
+        job->cancel_asked = true;
+        job->cancel_at = s->now + 1;
+        user_send(s, index, 2);
+    }
+    if (s->now > job->poll_at) {
+        job->poll_at = s->now + 2 + 3 * uniform(s);
+        user_send(s, index, 1);
+    }
+}
+
+int sim_submit(struct sim *s, double at, const char *kind, unsigned tasks, double cpus,
+               double run_s, double cancel_at) {
+    struct sim_job *job = &s->jobs[s->n_jobs];
+    char id[32], why[128];
+    snprintf(id, sizeof id, "j-%06d", s->n_jobs);
+    bool gang = strcmp(kind, "ensemble") == 0;
+    json_t *v = json_pack(
+        "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
+        id, "rig", gang ? "g" : "a", "crew", "t", "haul", kind, "precedence",
+        gang ? "urgent" : "low", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb",
+        2.0, "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
+        "loaners", !gang, "run_guess_s", run_s, "brace_every_s", gang ? 0.0 : 5.0, "brace_s", 1.0,
+        "due_s");
+    if (!v || !rp_wire_spec_read(v, &job->spec, why))
+        abort();
+    job->used = true;
+    job->body = json_dumps(v, JSON_COMPACT);
+    job->submit_at = at;
+    job->cancel_at = cancel_at;
+    json_decref(v);
+    return s->n_jobs++;
+}
+
+/* ---- the world's steps ---- */
+
+static void happen(struct sim *s) {
+    for (int i = 0; i < s->n_events; i++) {
+        struct sim_event *e = s->events[i];
+        bool over = true;
+        if (e->kind == EV_REQUEST && !e->answered && s->now >= e->deadline && e->due > s->now &&
+            s->now >= s->nodes[e->node].stalled_until)
+            time_out(s, e);
+        if (e->due > s->now)
+            continue;
+        switch (e->kind) {
+        case EV_REQUEST:
+            over = request_arrives(s, e);
+            break;
+        case EV_REPORT:
+            node_receive(s, e->node, "POST", RP_PATH_REPORT, e->body, EV_REPORT_ANSWER, e->worker,
+                         e->flight, 0);
+            break;
+        case EV_REPORT_ANSWER:
+            report_answered(s, e);
+            break;
+        case EV_USER:
+            user_answered(s, e);
+            break;
+        case EV_ANSWER:
+            break;
+        }
+        if (over) {
+            /* Call-backs may have added events: only the place is reused. */
+            s->events[i] = s->events[--s->n_events];
+            event_free(e);
+            i--;
+        }
+    }
+}
+
+static bool every(struct sim *s, double mean) {
+    return mean > 0 && chance(s, STEP_S / mean);
+}
+
+static void trouble(struct sim *s) {
+    const struct sim_faults *f = &s->faults;
+    int node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+    struct sim_worker *w = &s->workers[gsl_rng_uniform_int(s->rng, SIM_WORKERS)];
+    if (every(s, f->crash_s))
+        sim_crash(s, node, chance(s, 0.3) ? 0.1 : 3);
+    if (every(s, f->crash_s * 4))
+        for (int i = 0; i < SIM_NODES; i++)
+            sim_crash(s, i, 0.1 + 4 * uniform(s));
+    if (every(s, f->outage_s))
+        s->outage_until = s->now + 1 + 19 * uniform(s);
+    if (every(s, f->deaf_s))
+        s->nodes[node].deaf_until = s->now + 1 + 20 * uniform(s);
+    if (every(s, f->stall_s))
+        s->nodes[node].stalled_until = s->now + 12 * uniform(s);
+    if (every(s, f->hang_s / 8))
+        w->hung_until = s->now + 40 * uniform(s);
+    if (every(s, f->death_s / 8) && w->used)
+        w->alive = false;
+}
+
+static void leases_step(struct sim *s) {
+    /* Leases stand still during an outage, and have their full time again after it. */
+    for (int i = 0; i < SIM_LEASES; i++) {
+        struct sim_lease *l = &s->leases[i];
+        if (l->id && s->now < s->outage_until)
+            l->ends = s->now + l->ttl;
+        if (l->id && s->now > l->ends)
+            lease_expire(s, l);
+    }
+}
+
+static void check_cancelled(struct sim *s) {
+    for (int i = 0; i < SIM_WORKERS; i++)
+        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
+             k++) {
+            const struct sim_task *t = &s->workers[i].tasks[k];
+            const struct sim_job *job = &s->jobs[t->job_index];
+            if (on_machine(t) && job->told_cancelled && s->now > job->cancelled_at + CANCEL_S)
+                broken(s, "ran_cancelled: %s/%u on %s", t->job, t->index, s->workers[i].name);
+        }
+}
+
+void sim_run(struct sim *s, double seconds) {
+    double end = s->now + seconds;
+    while (s->now < end && !s->broken[0]) {
+        s->now += STEP_S;
+        trouble(s);
+        leases_step(s);
+        for (int i = 0; i < SIM_NODES; i++)
+            node_step(s, i);
+        for (int i = 0; i < SIM_WORKERS; i++)
+            worker_step(s, i);
+        for (int i = 0; i < s->n_jobs; i++)
+            user_step(s, i);
+        happen(s);
+        check_cancelled(s);
+    }
+}
+
+bool sim_all_over(const struct sim *s) {
+    for (int i = 0; i < s->n_jobs; i++)
+        if (!s->jobs[i].told_done && !s->jobs[i].told_cancelled && !s->jobs[i].faulty)
+            return false;
+    return true;
+}
+
+static const char settings_text[] =
+    "{\"node_name\":\"n%d\",\"location\":\"a\",\"client_listen\":\"10.0.0.1:1\",\"peer_listen\":"
+    "\"10.0.0.1:2\",\"seeds\":[],\"external\":{\"cloud\":\"cloud\",\"state\":\"state\"},"
+    "\"params\":{\"nodes\":3,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
+    "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2,"
+    "\"lease_s\":14,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":39},\"state\":{\"rps\":200,"
+    "\"write_rps\":20,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":5,\"list_lag_s\":3},"
+    "\"machine_limits\":{\"cpu_share\":0.1,\"mem_mb\":64,\"max_connections\":800}}}";
+
+struct sim *sim_new(unsigned long seed, const struct sim_faults *faults,
+                    enum sim_breakage breakage) {
+    struct sim *s = calloc(1, sizeof *s);
+    if (!s)
+        abort();
+    s->rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(s->rng, seed);
+    s->faults = *faults;
+    s->breakage = breakage;
+    s->log = json_array();
+    s->rentals = json_object();
+    for (int i = 0; i < SIM_NODES; i++) {
+        char *text;
+        if (asprintf(&text, settings_text, i) < 0 ||
+            rp_settings_parse(&s->settings[i], text, "settings", stderr))
+            abort();
+        free(text);
+        rp_settings_complete(&s->settings[i]);
+        s->settings[i].tuning.round_period_s = 2;
+        node_start(s, i);
+    }
+    return s;
+}
+
+void sim_free(struct sim *s) {
+    for (int i = 0; i < SIM_NODES; i++) {
+        sim_crash(s, i, 1e9);
+        rp_settings_free(&s->settings[i]);
+    }
+    for (int i = 0; i < s->n_events; i++)
+        event_free(s->events[i]);
+    while (s->n_keys > 0)
+        key_delete(s, &s->keys[s->n_keys - 1]);
+    for (int i = 0; i < s->n_jobs; i++) {
+        free(s->jobs[i].body);
+        rp_job_spec_free(&s->jobs[i].spec);
+    }
+    json_decref(s->log);
+    json_decref(s->rentals);
+    gsl_rng_free(s->rng);
+    free(s);
+}
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,139 @@
+/* A small world for whole nodes: stand-ins of the state service, the cloud, workers and users that
+ * speak the published protocol, a network that loses, delays, repeats and reorders, and the rules,
+ * checked after each step. Everything follows from the seed. */
+#ifndef RP_SIM_H
+#define RP_SIM_H
+
+#include <gsl/gsl_rng.h>
+#include <jansson.h>
+#include "node.h"
+
+#define SIM_NODES 3
+#define SIM_WORKERS 64
+#define SIM_TASKS 64 /* on one machine */
+#define SIM_JOBS 64
+#define SIM_JOB_TASKS 40
+#define SIM_KEYS 1024
+#define SIM_EVENTS 8192
+#define SIM_LEASES 64
+
+/* Faults, as chances for a message or shares of time; all zero: a quiet day. */
+struct sim_faults {
+    double lose;      /* the request or its answer never arrives */
+    double late;      /* the request is carried out seconds later, its answer is lost */
+    double repeat;    /* a copy of the request is carried out once more, later */
+    double crash_s;   /* mean time between crashes of some node, 0: none */
+    double outage_s;  /* mean time between outages of the state service */
+    double deaf_s;    /* mean time between single nodes' cuts from the state service */
+    double hang_s;    /* mean time between hangs of some worker */
+    double death_s;   /* mean time between deaths of some worker */
+    double stall_s;   /* mean time between stalls of some node */
+    double task_error; /* chance that a task fails */
+};
+
+/* Deliberately broken worlds, to show that the checks can fail. */
+enum sim_breakage {
+    SIM_SOUND,
+    SIM_WORKERS_KEEP_TASKS,  /* a lease's end kills nothing */
+    SIM_STATE_IGNORES_CONDITIONS,
+    SIM_WORKERS_IGNORE_STOPS /* cancelled tasks go on */
+};
+
+struct sim_task {
+    char job[RP_ID_MAX];
+    int job_index;
+    uint32_t index;
+    uint64_t attempt;
+    int state; /* enum rp_task_state */
+    const char *why;
+    bool saved;
+    double ready; /* image fetched, saved */
+    double began; /* running since */
+};
+
+struct sim_worker {
+    bool used, alive, up;
+    char name[RP_TEXT_MAX];
+    int type, zone;
+    bool spot;
+    double rented, boots, hung_until;
+    uint64_t session, seq, token;
+    double answered_sent; /* when the last answered report was sent */
+    struct sim_task tasks[SIM_TASKS];
+    int n_tasks;
+    int node; /* reports to */
+    bool in_flight;
+    double sent, next;
+    uint64_t flight; /* number of the report in flight */
+    bool changed;
+};
+
+struct sim_job {
+    bool used;
+    struct rp_job_spec spec;
+    char *body;
+    bool accepted, told_done, told_cancelled, cancel_asked;
+    double cancelled_at, accepted_at, poll_at, submit_at, cancel_at;
+    bool done[SIM_JOB_TASKS];
+    bool faulty;
+};
+
+struct sim_node {
+    bool alive;
+    unsigned long life;
+    struct rp_loop loop;
+    struct rp_node *node;
+    double drift, offset, back, stalled_until, deaf_until;
+};
+
+struct sim_key {
+    char *key;
+    json_t *value;
+    uint64_t version, lease;
+};
+
+struct sim_lease {
+    uint64_t id;
+    double ends, ttl;
+};
+
+struct sim_event;
+
+struct sim {
+    gsl_rng *rng;
+    double now;
+    struct sim_faults faults;
+    enum sim_breakage breakage;
+    struct rp_settings settings[SIM_NODES];
+    struct sim_node nodes[SIM_NODES];
+    struct sim_worker workers[SIM_WORKERS];
+    struct sim_job jobs[SIM_JOBS];
+    int n_jobs;
+    struct sim_key keys[SIM_KEYS];
+    int n_keys;
+    struct sim_lease leases[SIM_LEASES];
+    uint64_t next_lease, revision;
+    json_t *log; /* changes, for watches */
+    double outage_until;
+    json_t *rentals; /* request name -> answer */
+    int next_machine;
+    struct sim_event *events[SIM_EVENTS];
+    int n_events;
+    char broken[256]; /* the first rule that broke, "" for none */
+    unsigned long n_starts, n_done_jobs, n_changes, n_elections;
+};
+
+struct sim *sim_new(unsigned long seed, const struct sim_faults *faults,
+                    enum sim_breakage breakage);
+void sim_free(struct sim *s);
+/* Lets the world go on; stops early when a rule breaks. */
+void sim_run(struct sim *s, double seconds);
+/* Submits a job at a time; returns its index. */
+int sim_submit(struct sim *s, double at, const char *kind, unsigned tasks, double cpus,
+               double run_s, double cancel_at);
+bool sim_all_over(const struct sim *s);
+/* Kills a node's process; it comes back `back_s` later. */
+void sim_crash(struct sim *s, int node, double back_s);
+int sim_leader(const struct sim *s);
+
+#endif
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,141 @@
+/* The HTTP parser against whole, split, malformed and random input. */
+#include "test.h"
+
+#include <gsl/gsl_rng.h>
+#include "http_parse.h"
+
+static int parse(const char *text, size_t step, enum rp_http_role role, struct rp_http_parser *p) {
+    size_t len = strlen(text), at = 0;
+    rp_http_parser_init(p, role, 1000);
+    while (at < len && p->state != RP_HTTP_DONE && p->state != RP_HTTP_FAILED) {
+        size_t n = len - at < step ? len - at : step;
+        at += rp_http_parser_feed(p, text + at, n);
+    }
+    return p->state == RP_HTTP_FAILED ? p->error : p->state == RP_HTTP_DONE ? 0 : -1;
+}
+
+static void whole_and_split(void **state) {
+    static const char text[] = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+    (void)state;
+    for (size_t step = 1; step <= sizeof text; step++) {
+        struct rp_http_parser p;
+        assert_int_equal(parse(text, step, RP_HTTP_REQUEST, &p), 0);
+        assert_string_equal(p.method, "POST");
+        assert_string_equal(p.target, "/v1/jobs");
+        assert_string_equal(p.body, "hello");
+        assert_false(p.close);
+        rp_http_parser_free(&p);
+    }
+}
+
+static void chunks(void **state) {
+    static const char text[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "4\r\nwiki\r\nA;x=y\r\n0123456789\r\n0\r\nX: y\r\n\r\n";
+    (void)state;
+    for (size_t step = 1; step <= sizeof text; step++) {
+        struct rp_http_parser p;
+        assert_int_equal(parse(text, step, RP_HTTP_RESPONSE, &p), 0);
+        assert_int_equal(p.status, 200);
+        assert_string_equal(p.body, "wiki0123456789");
+        rp_http_parser_free(&p);
+    }
+}
+
+static void until_close(void **state) {
+    struct rp_http_parser p;
+    (void)state;
+    assert_int_equal(parse("HTTP/1.1 200 OK\r\nRetry-After: 7\r\n\r\nrest", 3, RP_HTTP_RESPONSE, &p),
+                     -1);
+    rp_http_parser_eof(&p);
+    assert_int_equal(p.state, RP_HTTP_DONE);
+    assert_string_equal(p.body, "rest");
+    assert_int_equal(p.retry_after, 7);
+    rp_http_parser_free(&p);
+}
+
+static void malformed(void **state) {
+    static const struct {
+        const char *text;
+        int error;
+    } cases[] = {
+        {"GET\r\n\r\n", 400},
+        {"GET / HTTP/2.0\r\n\r\n", 505},
+        {"GET / HTTX/1.1\r\n\r\n", 400},
+        {"GET x HTTP/1.1\r\n\r\n", 400},
+        {"G@T / HTTP/1.1\r\n\r\n", 400},
+        {"GET / HTTP/1.1 x\r\n\r\n", 400},
+        {"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400},
+        {"GET / HTTP/1.1\r\nA B: c\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", 400},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n", 413},
+    };
+    (void)state;
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+        for (size_t step = 1; step < 100; step += 13) {
+            struct rp_http_parser p;
+            assert_int_equal(parse(cases[i].text, step, RP_HTTP_REQUEST, &p), cases[i].error);
+            rp_http_parser_free(&p);
+        }
+}
+
+static void limits(void **state) {
+    char *text = malloc(20000);
+    struct rp_http_parser p;
+    (void)state;
+    assert_non_null(text);
+    memset(text, 'a', 19999);
+    text[19999] = '\0';
+    memcpy(text, "GET /", 5);
+    assert_int_equal(parse(text, 512, RP_HTTP_REQUEST, &p), 414);
+    rp_http_parser_free(&p);
+    memcpy(text, "GET / HTTP/1.1\r\nX: ", 19);
+    assert_int_equal(parse(text, 512, RP_HTTP_REQUEST, &p), 431);
+    rp_http_parser_free(&p);
+    /* Many short headers together are too much as well. */
+    size_t n = (size_t)sprintf(text, "GET / HTTP/1.1\r\n");
+    while (n < 9000)
+        n += (size_t)sprintf(text + n, "X: y\r\n");
+    assert_int_equal(parse(text, 512, RP_HTTP_REQUEST, &p), 431);
+    rp_http_parser_free(&p);
+    free(text);
+}
+
+/* Whatever the bytes, however they are split: no crash, and the same outcome for each splitting. */
+static void random_bytes(void **state) {
+    static const char pieces[][24] = {"GET / HTTP/1.1\r\n", "POST /x HTTP/1.0\r\n",
+                                      "Content-Length: 4\r\n", "Transfer-Encoding: ",
+                                      "chunked\r\n", "\r\n", "3\r\nabc\r\n", "0\r\n\r\n", "\n", " ",
+                                      ":", "\x01", "Connection: close\r\n", "abcd"};
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    (void)state;
+    gsl_rng_set(rng, 7);
+    for (int round = 0; round < 3000; round++) {
+        char text[512] = "";
+        struct rp_http_parser a, b;
+        for (int k = 0; k < 12; k++)
+            strcat(text, pieces[gsl_rng_uniform_int(rng, sizeof pieces / sizeof pieces[0])]);
+        size_t step = 1 + gsl_rng_uniform_int(rng, 9);
+        assert_int_equal(parse(text, sizeof text, RP_HTTP_REQUEST, &a),
+                         parse(text, step, RP_HTTP_REQUEST, &b));
+        assert_int_equal(a.body_len, b.body_len);
+        rp_http_parser_free(&a);
+        rp_http_parser_free(&b);
+    }
+    gsl_rng_free(rng);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(whole_and_split), cmocka_unit_test(chunks),
+        cmocka_unit_test(until_close),     cmocka_unit_test(malformed),
+        cmocka_unit_test(limits),          cmocka_unit_test(random_bytes)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,253 @@
+/* The planner against cases worked by hand, and its constraints on random pictures. */
+#include "test.h"
+
+#include <gsl/gsl_rng.h>
+#include <math.h>
+#include "plan.h"
+
+static const struct rp_heuristic fcfs_sm = {RP_FCFS, RP_SM};
+
+static struct rp_plan_kind kind(int type, bool spot, double cpus, double price) {
+    return (struct rp_plan_kind){.type = type, .spot = spot, .price = price, .boot_s = 30,
+                                 .capacity = {cpus, 0, cpus * 4}};
+}
+
+static struct rp_plan_machine machine(int type, double cpus, double room) {
+    return (struct rp_plan_machine){.type = type, .price = 1, .capacity = {cpus, 0, cpus * 4},
+                                    .room = {room, 0, cpus * 4}, .later = {room, 0, cpus * 4},
+                                    .wait_s = 30};
+}
+
+static struct rp_plan_group group(uint32_t n, double cpus, double run_s) {
+    return (struct rp_plan_group){.n = n, .each = {cpus, 0, 1}, .run_s = run_s, .team = -1,
+                                  .types = 3, .zones = 3, .spot = true, .fixed_zone = -1,
+                                  .spread_max = (n + 1) / 2};
+}
+
+static struct rp_plan_input input(struct rp_plan_kind *k, size_t nk, struct rp_plan_machine *m,
+                                  size_t nm, struct rp_plan_group *g, size_t ng) {
+    return (struct rp_plan_input){.kinds = k, .n_kinds = nk, .machines = m, .n_machines = nm,
+                                  .groups = g, .n_groups = ng, .unit_s = 60, .new_max = 20};
+}
+
+static uint32_t put_on(const struct rp_plan *p, size_t group, size_t machine) {
+    uint32_t n = 0;
+    for (size_t i = 0; i < p->n_puts; i++)
+        if (p->puts[i].group == group && p->puts[i].machine == machine)
+            n += p->puts[i].count;
+    return n;
+}
+
+static void formula_one(void **state) {
+    (void)state;
+    /* 61 s from its start are two units of 60 s: 2/60 of an hour's price. */
+    assert_true(fabs(rp_plan_cost(3600, 0, 61, 60) - 120) < 1e-9);
+    assert_true(fabs(rp_plan_cost(3600, 30, 30, 60) - 60) < 1e-9);
+    assert_true(fabs(rp_plan_cost(3600, 30, 31, 60) - 120) < 1e-9);
+}
+
+static void first_with_room(void **state) {
+    struct rp_plan_machine m[] = {machine(1, 32, 32), machine(0, 8, 5)};
+    struct rp_plan_group g[] = {group(8, 1, 50)};
+    struct rp_plan_input in = input(NULL, 0, m, 2, g, 1);
+    struct rp_plan p;
+    (void)state;
+    rp_plan_by(&in, fcfs_sm, &p); /* the smaller machine first */
+    assert_int_equal(put_on(&p, 0, 1), 5);
+    assert_int_equal(put_on(&p, 0, 0), 3);
+    assert_int_equal(p.n_now, 8);
+    assert_int_equal(p.n_fresh, 0);
+    rp_plan_free(&p);
+    rp_plan_by(&in, (struct rp_heuristic){RP_FCFS, RP_LM}, &p);
+    assert_int_equal(put_on(&p, 0, 0), 8);
+    rp_plan_free(&p);
+}
+
+static void rents_most_capacity_per_price(void **state) {
+    struct rp_plan_kind k[] = {kind(0, false, 8, 0.5), kind(1, false, 32, 1.5),
+                               kind(1, true, 32, 0.4)};
+    struct rp_plan_group g[] = {group(40, 1, 50)};
+    struct rp_plan_input in = input(k, 3, NULL, 0, g, 1);
+    struct rp_plan p;
+    (void)state;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(p.n_fresh, 2);
+    assert_int_equal(p.fresh[0], 2); /* spot: 80 CPUs for 1 */
+    assert_int_equal(p.n_wait, 40);
+    rp_plan_free(&p);
+    g[0].spot = false;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(p.fresh[0], 1); /* 21 against 16 */
+    rp_plan_free(&p);
+    k[1].refused = true;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(p.n_fresh, 5); /* the next best, while the best is refused */
+    rp_plan_free(&p);
+}
+
+static void waits_rather_than_rents(void **state) {
+    struct rp_plan_kind k[] = {kind(0, false, 8, 0.5)};
+    struct rp_plan_machine m[] = {machine(0, 8, 0)};
+    struct rp_plan_group g[] = {group(8, 1, 50)};
+    struct rp_plan_input in = input(k, 1, m, 1, g, 1);
+    struct rp_plan p;
+    (void)state;
+    m[0].later.cpus = 8; /* free before another machine could be up */
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(p.n_fresh, 0);
+    assert_int_equal(p.n_now, 0);
+    assert_int_equal(p.n_wait, 8);
+    rp_plan_free(&p);
+}
+
+static void gangs_whole_only(void **state) {
+    struct rp_plan_machine m[] = {machine(0, 8, 8), machine(0, 8, 8)};
+    struct rp_plan_group g[] = {group(3, 8, 50), group(2, 8, 50)};
+    struct rp_plan_input in = input(NULL, 0, m, 2, g, 2);
+    struct rp_plan p;
+    (void)state;
+    g[0].kind = g[1].kind = RP_GANG;
+    g[0].age_s = 100;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 0, 0) + put_on(&p, 0, 1), 0);
+    assert_int_equal(put_on(&p, 1, 0) + put_on(&p, 1, 1), 2);
+    rp_plan_free(&p);
+    /* In one zone: the second zone holds it, the first doesn't. */
+    m[1].zone = 1;
+    m[1].capacity.cpus = m[1].room.cpus = m[1].later.cpus = 16;
+    g[1].one_zone = true;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 1, 1), 2);
+    rp_plan_free(&p);
+}
+
+static void limits_and_spread(void **state) {
+    struct rp_plan_machine m[] = {machine(0, 64, 64), machine(0, 64, 64)};
+    struct rp_plan_group g[] = {group(9, 1, 50)};
+    struct rp_plan_team team[] = {{.cpus_left = 4, .gpus_left = 1e9}};
+    struct rp_plan_input in = input(NULL, 0, m, 2, g, 1);
+    struct rp_plan p;
+    (void)state;
+    m[1].zone = 1;
+    g[0].spread = true;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 0, 0), 5);
+    assert_int_equal(put_on(&p, 0, 1), 4);
+    rp_plan_free(&p);
+    in.teams = team;
+    in.n_teams = 1;
+    g[0].team = 0;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(p.n_now, 4);
+    rp_plan_free(&p);
+}
+
+static void priority_first(void **state) {
+    struct rp_plan_machine m[] = {machine(0, 8, 8)};
+    struct rp_plan_group g[] = {group(8, 1, 50), group(1, 8, 50)};
+    struct rp_plan_input in = input(NULL, 0, m, 1, g, 2);
+    struct rp_plan p;
+    (void)state;
+    g[0].age_s = 1000;
+    g[1].priority = RP_HIGH;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 1, 0), 1);
+    assert_int_equal(put_on(&p, 0, 0), 0);
+    rp_plan_free(&p);
+}
+
+static void portfolio_takes_least_left_then_cheapest(void **state) {
+    struct rp_plan a = {.left = 1, .cost = 5}, b = {.left = 0, .cost = 9}, c = {.left = 0, .cost = 8};
+    (void)state;
+    assert_true(rp_plan_better(&b, &a));
+    assert_true(rp_plan_better(&c, &b));
+    assert_false(rp_plan_better(&b, &c));
+}
+
+/* Whatever the picture: no machine is overfilled, nothing is put where it isn't allowed, gangs are
+ * whole, limits and zones hold. */
+static void random_pictures(void **state) {
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    (void)state;
+    gsl_rng_set(rng, 11);
+    for (int round = 0; round < 400; round++) {
+        struct rp_plan_kind k[] = {kind(0, false, 8, 0.5), kind(1, false, 32, 1.5),
+                                   kind(1, true, 32, 0.4)};
+        struct rp_plan_machine m[12];
+        struct rp_plan_group g[20];
+        struct rp_plan_team team[] = {{.cpus_left = gsl_rng_uniform(rng) * 100, .gpus_left = 1e9}};
+        size_t nm = gsl_rng_uniform_int(rng, 13), ng = gsl_rng_uniform_int(rng, 21);
+        k[0].zone = (int)gsl_rng_uniform_int(rng, 2);
+        for (size_t i = 0; i < nm; i++) {
+            int t = (int)gsl_rng_uniform_int(rng, 2);
+            double cpus = t ? 32 : 8;
+            m[i] = machine(t, cpus, floor(gsl_rng_uniform(rng) * cpus));
+            m[i].later.cpus += floor(gsl_rng_uniform(rng) * (cpus - m[i].room.cpus));
+            m[i].zone = (int)gsl_rng_uniform_int(rng, 2);
+            m[i].spot = gsl_rng_uniform(rng) < 0.3;
+        }
+        for (size_t i = 0; i < ng; i++) {
+            g[i] = group(1 + (uint32_t)gsl_rng_uniform_int(rng, 20), 1 + gsl_rng_uniform(rng) * 6,
+                         30);
+            g[i].kind = gsl_rng_uniform(rng) < 0.3 ? RP_GANG : RP_ARRAY;
+            g[i].spot = gsl_rng_uniform(rng) < 0.5;
+            g[i].one_zone = gsl_rng_uniform(rng) < 0.3;
+            g[i].zones = 1 + (uint32_t)gsl_rng_uniform_int(rng, 3);
+            g[i].team = gsl_rng_uniform(rng) < 0.5 ? 0 : -1;
+            g[i].spread = !g[i].one_zone && gsl_rng_uniform(rng) < 0.3;
+        }
+        struct rp_plan_input in = input(k, 3, m, nm, g, ng);
+        struct rp_heuristic h = {(enum rp_job_order)gsl_rng_uniform_int(rng, 7),
+                                 (enum rp_machine_order)gsl_rng_uniform_int(rng, 11)};
+        in.teams = team;
+        in.n_teams = 1;
+        struct rp_plan p;
+        double now_used[40] = {0}, used[40] = {0}, team_used = 0;
+        uint32_t placed[20] = {0}, zone_used[20][2] = {{0}};
+        rp_plan_by(&in, h, &p);
+        assert_false(p.failed);
+        for (size_t i = 0; i < p.n_puts; i++) {
+            const struct rp_plan_put *u = &p.puts[i];
+            bool fresh = u->machine >= nm;
+            const struct rp_plan_kind *kd = fresh ? &k[p.fresh[u->machine - nm]] : NULL;
+            int zone = fresh ? kd->zone : m[u->machine].zone;
+            bool spot = fresh ? kd->spot : m[u->machine].spot;
+            used[u->machine] += u->count * g[u->group].each.cpus;
+            now_used[u->machine] += u->now ? u->count * g[u->group].each.cpus : 0;
+            placed[u->group] += u->count;
+            zone_used[u->group][zone] += u->count;
+            team_used += g[u->group].team == 0 ? u->count * g[u->group].each.cpus : 0;
+            assert_true(g[u->group].zones >> zone & 1);
+            assert_true(!spot || g[u->group].spot);
+            assert_false(fresh && u->now);
+        }
+        for (size_t i = 0; i < nm + p.n_fresh; i++) {
+            double later = i < nm ? m[i].later.cpus : k[p.fresh[i - nm]].capacity.cpus;
+            assert_true(used[i] <= later + 1e-6);
+            assert_true(i >= nm || now_used[i] <= m[i].room.cpus + 1e-6);
+        }
+        for (size_t i = 0; i < ng; i++) {
+            assert_true(placed[i] <= g[i].n);
+            assert_true(g[i].kind != RP_GANG || placed[i] == 0 || placed[i] == g[i].n);
+            assert_true(!g[i].one_zone || !zone_used[i][0] || !zone_used[i][1]);
+            for (int z = 0; z < 2; z++)
+                assert_true(!g[i].spread || zone_used[i][z] <= g[i].spread_max);
+        }
+        assert_true(team_used <= team[0].cpus_left + 1e-6);
+        rp_plan_free(&p);
+    }
+    gsl_rng_free(rng);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(formula_one),
+                                       cmocka_unit_test(first_with_room),
+                                       cmocka_unit_test(rents_most_capacity_per_price),
+                                       cmocka_unit_test(waits_rather_than_rents),
+                                       cmocka_unit_test(gangs_whole_only),
+                                       cmocka_unit_test(limits_and_spread),
+                                       cmocka_unit_test(priority_first),
+                                       cmocka_unit_test(portfolio_takes_least_left_then_cheapest),
+                                       cmocka_unit_test(random_pictures)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,115 @@
+/* Both settings files: what is read, and what is refused, with its place. */
+#include "test.h"
+
+#include "settings.h"
+
+static char told[4096];
+
+static int tune(const char *text, struct rp_tuning *t) {
+    FILE *errors = fmemopen(told, sizeof told, "w");
+    memset(told, 0, sizeof told);
+    rp_tuning_defaults(t);
+    int mistakes = rp_tuning_parse(t, text, "op", errors);
+    fclose(errors);
+    return mistakes;
+}
+
+static void operators_file(void **state) {
+    struct rp_tuning t;
+    (void)state;
+    assert_int_equal(tune("", &t), 0);
+    assert_true(t.round_period_s > 0);
+    assert_int_equal(tune("# a comment\nround_period_s: 4.5\npreemption: false;\n"
+                          "heuristic: \"FCFS-SM\"\nheuristic: 'LTJF-CFH'\nfaulty_after: 3\n",
+                          &t),
+                     0);
+    assert_true(t.round_period_s == 4.5 && !t.preemption && t.faulty_after == 3);
+    assert_int_equal(t.n_heuristics, 2);
+    assert_string_equal(t.heuristics[1], "LTJF-CFH");
+    assert_int_equal(tune("heuristic: [\"FCFS-SM\", \"SJF-LM\"]", &t), 0);
+    assert_int_equal(t.n_heuristics, 2);
+}
+
+static void operators_mistakes(void **state) {
+    static const struct {
+        const char *text, *told;
+    } cases[] = {
+        {"round_perio_s: 1", "op:1:1: unknown field"},
+        {"\n  round_period_s: 1\nround_period_s: 2", "op:3:1: field 'round_period_s' is given twice"},
+        {"round_period_s 1", "op:1:16: round_period_s: ':' was expected"},
+        {"round_period_s: x", "op:1:17: round_period_s: a number"},
+        {"round_period_s: 1e999", "op:1:17: round_period_s: number out of range"},
+        {"round_period_s: 0.01", "op: round_period_s: must lie between"},
+        {"faulty_after: 1.5", "op:1:15: faulty_after: a whole number"},
+        {"faulty_after: -1", "op:1:15: faulty_after: a whole number"},
+        {"preemption: maybe", "op:1:13: preemption: true or false"},
+        {"heuristic: FCFS", "op:1:12: heuristic: a quoted string"},
+        {"heuristic: \"FCFS", "op:1:12: heuristic: string without an end"},
+        {"heuristic: \"A\\n\"", "escapes are not accepted"},
+        {"heuristic: \"FCFS-XX\"", "'FCFS-XX' is not known"},
+        {"heuristic: [\"FCFS-SM\"", "',' or ']' was expected"},
+        {"}", "op:1:1: a name was expected"},
+    };
+    (void)state;
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        struct rp_tuning t;
+        assert_int_not_equal(tune(cases[i].text, &t), 0);
+        if (!strstr(told, cases[i].told))
+            fail_msg("'%s' told '%s'", cases[i].text, told);
+    }
+}
+
+static const char platform[] =
+    "{\"node_name\":\"n0\",\"location\":\"a\",\"client_listen\":\"10.0.0.1:1\",\"peer_listen\":"
+    "\"10.0.0.1:2\",\"seeds\":[],\"external\":{\"cloud\":\"c\",\"state\":\"s\"},\"unknown\":1,"
+    "\"params\":{\"nodes\":3,\"zones\":[\"a\"],\"teams\":[],\"objectives\":[{\"kind\":\"new\"}],"
+    "\"workers\":{\"report_s\":2,\"lease_s\":%g,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":"
+    "%g},\"state\":{\"rps\":200,\"write_rps\":20,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":"
+    "5,\"list_lag_s\":3},\"machine_limits\":{\"mem_mb\":%s,\"max_connections\":800}}}";
+
+static int read_platform(double lease, double cancel, const char *memory, struct rp_settings *s) {
+    char text[2048];
+    FILE *errors = fmemopen(told, sizeof told, "w");
+    memset(told, 0, sizeof told);
+    snprintf(text, sizeof text, platform, lease, cancel, memory);
+    int mistakes = rp_settings_parse(s, text, "p", errors);
+    rp_settings_complete(s);
+    if (!mistakes)
+        mistakes = rp_settings_check(s, errors);
+    fclose(errors);
+    return mistakes;
+}
+
+static void platform_file(void **state) {
+    struct rp_settings s;
+    (void)state;
+    assert_int_equal(read_platform(14, 39, "56", &s), 0);
+    assert_string_equal(s.node, "n0");
+    assert_int_equal(s.n_objectives, 0);
+    assert_true(s.tuning.leader_ttl_s == 9);
+    rp_settings_free(&s);
+    assert_int_equal(read_platform(14, 39, "\"x\"", &s), 1);
+    assert_non_null(strstr(told, "p: params.machine_limits.mem_mb: must be a number"));
+    rp_settings_free(&s);
+    assert_int_equal(read_platform(14, 39, "-1", &s), 1);
+    assert_non_null(strstr(told, "must lie between"));
+    rp_settings_free(&s);
+}
+
+/* A fixed leader lease contradicted short worker leases: nodes refused to start there. */
+static void leader_lease_fits(void **state) {
+    struct rp_settings s;
+    (void)state;
+    assert_int_equal(read_platform(6, 12, "56", &s), 0);
+    assert_true(s.tuning.leader_ttl_s < 2 && s.tuning.leader_ttl_s >= 1);
+    s.tuning.leader_ttl_s = 5;
+    assert_int_not_equal(rp_settings_check(&s, fmemopen(told, sizeof told, "w")), 0);
+    rp_settings_free(&s);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(operators_file), cmocka_unit_test(operators_mistakes),
+        cmocka_unit_test(platform_file), cmocka_unit_test(leader_lease_fits)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
