--- a/src/api.c
+++ b/src/api.c
@@ -13,9 +13,9 @@
 
 /* Where a user's request stands. */
 enum op_state {
-    OP_READ_OPEN,  /* is the job open? */
-    OP_READ_OVER,  /* or over? */
-    OP_WRITE,      /* the submission's or the cancellation's transaction */
+    OP_READ_OPEN, /* is the job open? */
+    OP_READ_OVER, /* or over? */
+    OP_WRITE,     /* the submission's or the cancellation's transaction */
     OP_ANSWERED
 };
 
@@ -26,7 +26,7 @@
     enum op_state state;
     char id[RP_ID_MAX];
     struct rp_job_spec spec;
-    int refusal;        /* what a submission gets if its id isn't known: 400, 422, 503 or 0 */
+    int refusal; /* what a submission gets if its id isn't known: 400, 422, 503 or 0 */
     char why[128];
     uint64_t version;
     unsigned tries;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -11,7 +11,8 @@
 #define LIST_PAGE 500
 #define DELETE_MAX 100
 #define NEWS_MAX_S 9.0
-#define LOST_GRACE_S 8.0 /* a machine that lost its lease through our absence comes back by then */
+/* A machine that lost its lease through our absence comes back within this. */
+#define LOST_GRACE_S 8.0
 
 struct request {
     struct rp_fleet *f;
@@ -83,8 +84,8 @@
     return -1;
 }
 
-void rp_fleet_describe(struct rp_fleet *f, struct rp_machine *m, const char *type,
-                       const char *zone, bool spot) {
+void rp_fleet_describe(struct rp_fleet *f, struct rp_machine *m, const char *type, const char *zone,
+                       bool spot) {
     /* A zone never changes under a machine's tasks: they are counted by it. */
     if (m->type >= 0 && m->zone >= 0)
         return;
@@ -123,8 +124,7 @@
 }
 
 /* The one place where a rental changes its state. */
-static void rental_enter(struct rp_fleet *f, struct rp_rental *rental,
-                         enum rp_rental_state state) {
+static void rental_enter(struct rp_fleet *f, struct rp_rental *rental, enum rp_rental_state state) {
     rental->state = state;
     rental->retry = (struct timespec){0};
     if (state == RP_RENTAL_LIVE) {
@@ -158,8 +158,7 @@
     if (!rental)
         return;
     rental->busy = false;
-    if (result->outcome == RP_STATE_CONFLICT &&
-        rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
+    if (result->outcome == RP_STATE_CONFLICT && rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
         rp_election_doubt(f->election);
         rental_later(f, rental, 1);
         return;
@@ -256,9 +255,8 @@
         rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
     }
     f->n_rented += n;
-    rp_info("rented %zu of %u %s in %s%s, request=%s", n, rental->record.count,
-            rental->record.type, rental->record.zone, rental->record.spot ? " (spot)" : "",
-            rental->name);
+    rp_info("rented %zu of %u %s in %s%s, request=%s", n, rental->record.count, rental->record.type,
+            rental->record.zone, rental->record.spot ? " (spot)" : "", rental->name);
     if (n < rental->record.count)
         refuse(f, rental);
     free(names);
@@ -305,8 +303,7 @@
 /* Does what the rental's state asks for, unless something is under way or has to wait. */
 static void rental_step(struct rp_fleet *f, struct rp_rental *rental) {
     struct timespec now = rp_loop_now(f->loop);
-    if (rental->busy || !rp_ts_reached(now, rental->retry) ||
-        !rp_election_valid(f->election, now))
+    if (rental->busy || !rp_ts_reached(now, rental->retry) || !rp_election_valid(f->election, now))
         return;
     switch (rental->state) {
     case RP_RENTAL_WRITING:
@@ -462,8 +459,8 @@
     if (!m) {
         /* A machine just returned is listed a while longer; a real stray stays. It is adopted once
          * it reports, or returned if it is in no rental under way for long. */
-        if (l->age_s > 4 * f->settings->list_lag_s + 60 &&
-            rp_ts_since(now, f->led_since) > 30 && l->state != RP_LISTED_FAILED) {
+        if (l->age_s > 4 * f->settings->list_lag_s + 60 && rp_ts_since(now, f->led_since) > 30 &&
+            l->state != RP_LISTED_FAILED) {
             m = rp_machine_add(f->picture, l->machine, RP_MACHINE_BOOTING);
             rp_fleet_describe(f, m, l->type, l->zone, l->spot);
             m->rented = rp_ts_sub(now, rp_ts(l->age_s));
--- a/src/http.c
+++ b/src/http.c
@@ -414,10 +414,8 @@
 
 void rp_http_client_init(struct rp_http_client *c, struct rp_loop *loop, size_t max_per_host,
                          size_t max_total, size_t body_max) {
-    *c = (struct rp_http_client){.loop = loop,
-                                 .max_per_host = max_per_host,
-                                 .max_total = max_total,
-                                 .body_max = body_max};
+    *c = (struct rp_http_client){
+        .loop = loop, .max_per_host = max_per_host, .max_total = max_total, .body_max = body_max};
 }
 
 static void host_serve(struct rp_http_host *h);
--- a/src/http.h
+++ b/src/http.h
@@ -11,11 +11,11 @@
 struct rp_http_call;
 
 struct rp_http_limits {
-    size_t max_conns;   /* beyond this a new connection is told 503 and closed */
-    size_t body_max;    /* of a request */
-    double idle_s;      /* a connection without a request */
-    double receive_s;   /* from the first to the last byte of a request */
-    double send_s;      /* a peer that takes no bytes */
+    size_t max_conns; /* beyond this a new connection is told 503 and closed */
+    size_t body_max;  /* of a request */
+    double idle_s;    /* a connection without a request */
+    double receive_s; /* from the first to the last byte of a request */
+    double send_s;    /* a peer that takes no bytes */
 };
 
 struct rp_http_server {
--- a/src/http_parse.c
+++ b/src/http_parse.c
@@ -115,8 +115,8 @@
     if (!isxdigit((unsigned char)*text) || (base == 10 && !isdigit((unsigned char)*text)))
         return false;
     for (; isxdigit((unsigned char)*text); text++) {
-        int digit = isdigit((unsigned char)*text) ? *text - '0'
-                                                  : tolower((unsigned char)*text) - 'a' + 10;
+        int digit =
+            isdigit((unsigned char)*text) ? *text - '0' : tolower((unsigned char)*text) - 'a' + 10;
         if (digit >= base || value > (SIZE_MAX >> 8))
             return false;
         value = value * (size_t)base + (size_t)digit;
@@ -326,7 +326,8 @@
     while (used < len && p->state != RP_HTTP_DONE && p->state != RP_HTTP_FAILED) {
         bool body = p->state == RP_HTTP_BODY_SIZED || p->state == RP_HTTP_BODY_UNTIL_CLOSE ||
                     p->state == RP_HTTP_CHUNK_DATA;
-        used += body ? feed_body(p, data + used, len - used) : feed_line(p, data + used, len - used);
+        used +=
+            body ? feed_body(p, data + used, len - used) : feed_line(p, data + used, len - used);
     }
     return used;
 }
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -22,7 +22,7 @@
         char job[RP_ID_MAX];
         unsigned chunk;
         uint8_t bits[RP_CHUNK_BYTES];
-    } *saved;
+    } * saved;
 };
 
 static struct request *request_new(struct rp_jobs *t) {
@@ -143,12 +143,11 @@
     job->state = state;
     if (state != RP_JOB_CLOSED)
         return;
+    /* Dropping the last place frees a closed job: held until the stops are through. */
+    job->n_refs++;
     if (t->on_closed)
         t->on_closed(t->arg, job);
-    if (job->n_refs == 0) {
-        table_remove(t, job);
-        job_free(job);
-    }
+    rp_jobs_release(t, job);
 }
 
 void rp_jobs_release(struct rp_jobs *t, struct rp_job *job) {
@@ -567,7 +566,7 @@
 double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job) {
     for (size_t i = 0; i < t->n_classes; i++)
         if (strcmp(t->classes[i].name, job->spec.class_name) == 0)
-            return job->spec.estimate_s *
-                   (t->classes[i].ratio * t->classes[i].weight + 2.0) / (t->classes[i].weight + 2.0);
+            return job->spec.estimate_s * (t->classes[i].ratio * t->classes[i].weight + 2.0) /
+                   (t->classes[i].weight + 2.0);
     return job->spec.estimate_s;
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -25,12 +25,12 @@
     double age_at_known_s;
     int team;
     uint32_t n_done, n_running;
-    uint32_t n_counted; /* places whose task may be on a machine */
-    uint32_t n_refs;    /* places that point here */
+    uint32_t n_counted;      /* places whose task may be on a machine */
+    uint32_t n_refs;         /* places that point here */
     uint8_t *done, *durable; /* bit sets over the tasks */
     uint8_t *where;          /* in how many places each task may be */
     uint32_t zone_count[RP_ZONES_MAX];
-    uint32_t cursor; /* no task below it can be started */
+    uint32_t cursor;                                        /* no task below it can be started */
     uint32_t chunks_written, chunks_dirty, chunks_flushing; /* bit sets */
     struct timespec dirty_since;
     bool writing; /* the finishing transaction is under way */
@@ -62,7 +62,7 @@
     struct rp_job *buckets[RP_JOBS_BUCKETS];
     struct rp_job *first, *last;
     size_t n_jobs;
-    uint64_t revision; /* the table holds everything up to here */
+    uint64_t revision;      /* the table holds everything up to here */
     struct timespec synced; /* when the newest answered watch was sent */
     struct timespec follow_sent;
     unsigned long generation; /* answers to requests of an earlier leadership are ignored */
--- a/src/model.h
+++ b/src/model.h
@@ -53,7 +53,13 @@
     size_t n_zones;
 };
 
-enum rp_task_state { RP_TASK_FETCHING, RP_TASK_WAITING, RP_TASK_RUNNING, RP_TASK_SAVING, RP_TASK_EXITED };
+enum rp_task_state {
+    RP_TASK_FETCHING,
+    RP_TASK_WAITING,
+    RP_TASK_RUNNING,
+    RP_TASK_SAVING,
+    RP_TASK_EXITED
+};
 enum rp_exit {
     RP_EXIT_NONE,
     RP_EXIT_DONE,
--- a/src/node.c
+++ b/src/node.c
@@ -250,13 +250,13 @@
     for (size_t i = 0; i < n->settings->tuning.n_heuristics; i++)
         json_object_set_new(wins, n->settings->tuning.heuristics[i],
                             json_integer((json_int_t)n->round.wins[i]));
-    json_t *v = json_pack(
-        "{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node", n->settings->node, "state",
-        states[n->at], "leader", n->election.leader, "token", (json_int_t)n->election.token, "jobs",
-        (json_int_t)n->jobs.n_jobs, "machines", (json_int_t)n->picture.n_machines, "rounds",
-        (json_int_t)n->round.n_rounds, "starts", (json_int_t)n->workers.n_starts, "rented",
-        (json_int_t)n->fleet.n_rented, "refused", (json_int_t)n->fleet.n_refused, "plan_winners",
-        wins);
+    json_t *v = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
+                          n->settings->node, "state", states[n->at], "leader", n->election.leader,
+                          "token", (json_int_t)n->election.token, "jobs",
+                          (json_int_t)n->jobs.n_jobs, "machines", (json_int_t)n->picture.n_machines,
+                          "rounds", (json_int_t)n->round.n_rounds, "starts",
+                          (json_int_t)n->workers.n_starts, "rented", (json_int_t)n->fleet.n_rented,
+                          "refused", (json_int_t)n->fleet.n_refused, "plan_winners", wins);
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
     return text;
--- a/src/picture.c
+++ b/src/picture.c
@@ -111,9 +111,8 @@
 
 bool rp_picture_settled(const struct rp_picture *p) {
     for (const struct rp_machine *m = p->first; m; m = m->next)
-        if (m->state == RP_MACHINE_UNKNOWN ||
-            (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
-             !rp_ts_reached(rp_loop_now(p->loop), m->held_until)))
+        if (m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
+                                               !rp_ts_reached(rp_loop_now(p->loop), m->held_until)))
             return false;
     return true;
 }
@@ -138,8 +137,8 @@
 }
 
 bool rp_machine_usable(const struct rp_machine *m) {
-    return m->state == RP_MACHINE_UP && m->recorded && m->token_seen && !m->noticed &&
-           !m->faulty && m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
+    return m->state == RP_MACHINE_UP && m->recorded && m->token_seen && !m->noticed && !m->faulty &&
+           m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
 }
 
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
--- a/src/picture.h
+++ b/src/picture.h
@@ -29,7 +29,7 @@
     enum rp_place_state state;
     enum rp_task_state task_state;
     enum rp_exit why;
-    uint64_t sent_seq; /* number of the report whose answer carried the start */
+    uint64_t sent_seq;       /* number of the report whose answer carried the start */
     struct timespec since;   /* planned */
     struct timespec running; /* first seen running */
     bool stop;               /* is to be stopped */
@@ -137,7 +137,8 @@
 void rp_place_stop(struct rp_place *place, double grace_s);
 /* Wants every task of the job stopped, wherever it may be. */
 void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s);
-void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image, double gb);
+void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image,
+                           double gb);
 bool rp_machine_has_image(const struct rp_machine *m, const char *image);
 
 #endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -8,7 +8,7 @@
 #define EPS 1e-9
 
 static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF"};
-static const char *const machine_names[] = {"RND", "LM", "SM",  "LA",  "EA", "LD",
+static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA", "LD",
                                             "ED",  "LAA", "EAA", "CFH", "FFH"};
 
 static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
@@ -22,8 +22,8 @@
     const char *dash = strchr(name, '-');
     if (!dash)
         return false;
-    int jobs = name_index(name, (size_t)(dash - name), job_names,
-                          sizeof job_names / sizeof job_names[0]);
+    int jobs =
+        name_index(name, (size_t)(dash - name), job_names, sizeof job_names / sizeof job_names[0]);
     int machines = name_index(dash + 1, strlen(dash + 1), machine_names,
                               sizeof machine_names / sizeof machine_names[0]);
     if (jobs < 0 || machines < 0)
@@ -56,7 +56,6 @@
     double *cpus_left, *gpus_left;
 };
 
-
 static uint32_t fit_one(double room, double need, uint32_t most) {
     if (need <= 0)
         return most;
@@ -161,9 +160,9 @@
         gsl_rng_set(rng, r->in->seed);
     for (size_t i = 0; i < n; i++) {
         r->machine_order[i] = i;
-        r->key[i] = order == RP_RND && !rng ? 0
-                                            : machine_key(&r->in->machines[i], order,
-                                                          r->in->unit_s, rng);
+        r->key[i] = order == RP_RND && !rng
+                        ? 0
+                        : machine_key(&r->in->machines[i], order, r->in->unit_s, rng);
     }
     sort_by(r->machine_order, r->key, n);
     if (rng)
@@ -288,8 +287,9 @@
     double mem = c->memory_gb > 0 ? g->each.memory_gb / c->memory_gb : 0;
     double capacity = gpu >= cpu && gpu >= mem ? c->gpus : cpu >= mem ? c->cpus : c->memory_gb;
     /* In tasks, so that types whose main resource differs can be compared. */
-    double need = gpu >= cpu && gpu >= mem ? g->each.gpus : cpu >= mem ? g->each.cpus
-                                                                       : g->each.memory_gb;
+    double need = gpu >= cpu && gpu >= mem ? g->each.gpus
+                  : cpu >= mem             ? g->each.cpus
+                                           : g->each.memory_gb;
     return need > 0 && k->price > 0 ? capacity / need / k->price : capacity;
 }
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -103,9 +103,9 @@
     size_t *fresh; /* kinds of the new machines */
     size_t n_fresh, cap_fresh;
     uint32_t n_now, n_wait;
-    double left;   /* work that found no place, weighed by priority */
-    double cost;   /* formula (1) */
-    bool failed;   /* out of memory */
+    double left; /* work that found no place, weighed by priority */
+    double cost; /* formula (1) */
+    bool failed; /* out of memory */
 };
 
 void rp_plan_free(struct rp_plan *plan);
--- a/src/round.c
+++ b/src/round.c
@@ -7,9 +7,9 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
-#define BATCH_MIN 64   /* jobs in a round; with more waiting, half of them */
+#define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
-#define OVERDUE 2.2    /* a machine that boots this many times longer than usual isn't waited for */
+#define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
 static void tick(void *arg);
 
@@ -257,8 +257,7 @@
         const struct rp_job *job = x->groups[g].ref;
         for (size_t m = 0; m < n; m++)
             if (x->machines[m].ref)
-                x->has_image[g * n + m] =
-                    rp_machine_has_image(x->machines[m].ref, job->spec.image);
+                x->has_image[g * n + m] = rp_machine_has_image(x->machines[m].ref, job->spec.image);
         x->groups[g].has_image = &x->has_image[g * n];
     }
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -28,8 +28,8 @@
 
 static json_t *need(struct reading *r, json_t *in, const char *path, const char *name,
                     json_type type) {
-    static const char *const names[] = {"an object",  "an array", "a string", "a whole number",
-                                        "a number",   "true",     "false",    "null"};
+    static const char *const names[] = {"an object", "an array", "a string", "a whole number",
+                                        "a number",  "true",     "false",    "null"};
     char full[256], text[64];
     json_t *v = json_object_get(in, name);
     join(full, sizeof full, path, name);
@@ -305,16 +305,16 @@
     TAKE(preemption);
 #undef TAKE
     mistakes += take_heuristics(t, m, file, errors);
-    const struct range ranges[] = {{"round_period_s", t->round_period_s, 0.5, 60},
-                                   {"billing_unit_s", t->billing_unit_s, 1, 86400},
-                                   {"return_margin_s", t->return_margin_s, 0, 3600},
-                                   {"leader_ttl_s", m->has_leader_ttl_s ? t->leader_ttl_s : 1, 1,
-                                    600},
-                                   {"leader_check_s", t->leader_check_s, 0.1, 10},
-                                   {"boot_patience", t->boot_patience, 1, 100},
-                                   {"refused_pause_s", t->refused_pause_s, 0, 3600},
-                                   {"leader_write_share", t->leader_write_share, 0.1, 0.9},
-                                   {"faulty_after", t->faulty_after, 1, 1000}};
+    const struct range ranges[] = {
+        {"round_period_s", t->round_period_s, 0.5, 60},
+        {"billing_unit_s", t->billing_unit_s, 1, 86400},
+        {"return_margin_s", t->return_margin_s, 0, 3600},
+        {"leader_ttl_s", m->has_leader_ttl_s ? t->leader_ttl_s : 1, 1, 600},
+        {"leader_check_s", t->leader_check_s, 0.1, 10},
+        {"boot_patience", t->boot_patience, 1, 100},
+        {"refused_pause_s", t->refused_pause_s, 0, 3600},
+        {"leader_write_share", t->leader_write_share, 0.1, 0.9},
+        {"faulty_after", t->faulty_after, 1, 1000}};
     mistakes += check_ranges(ranges, sizeof ranges / sizeof ranges[0], file, errors);
 out:
     protobuf_c_message_free_unpacked(&m->base, NULL);
--- a/src/wire.c
+++ b/src/wire.c
@@ -503,8 +503,8 @@
 }
 
 void rp_wire_txn_if(json_t *txn, const char *key, uint64_t version) {
-    json_array_append_new(json_object_get(txn, "when"), json_pack("{s:s,s:I}", "path", key,
-                                                                  "key_rev", (json_int_t)version));
+    json_array_append_new(json_object_get(txn, "when"),
+                          json_pack("{s:s,s:I}", "path", key, "key_rev", (json_int_t)version));
 }
 
 void rp_wire_txn_put(json_t *txn, const char *key, json_t *value, uint64_t lease) {
--- a/src/workers.h
+++ b/src/workers.h
@@ -12,7 +12,7 @@
     struct rp_jobs *jobs;
     struct rp_fleet *fleet;
     const struct rp_settings *settings;
-    bool ready; /* the records are loaded */
+    bool ready;                 /* the records are loaded */
     void (*on_room)(void *arg); /* places became free */
     void *arg;
     unsigned long n_reports, n_stale, n_starts;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -216,9 +216,9 @@
             found[n++] = &s->keys[i];
     qsort(found, (size_t)n, sizeof found[0], by_key);
     for (int i = 0; i < n && (size_t)i < most; i++)
-        json_array_append_new(rows, json_pack("{s:s,s:O,s:I}", "path", found[i]->key, "v",
-                                              found[i]->value, "key_rev",
-                                              (json_int_t)found[i]->version));
+        json_array_append_new(rows,
+                              json_pack("{s:s,s:O,s:I}", "path", found[i]->key, "v",
+                                        found[i]->value, "key_rev", (json_int_t)found[i]->version));
     return json_pack("{s:o,s:b,s:I}", "rows", rows, "has_next", (size_t)n > most, "ledger_rev",
                      (json_int_t)s->revision);
 }
@@ -273,13 +273,13 @@
 static json_t *cloud_catalog(void) {
     json_t *list = json_array();
     for (int i = 0; i < 2; i++)
-        json_array_append_new(
-            list, json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s,s]}", "name",
-                            sim_types[i].name, "vcpus", sim_types[i].cpus, "cards",
-                            sim_types[i].gpus, "memory_gb", sim_types[i].memory, "cache_gb", 50.0,
-                            "fetch_gb_per_s", 1.0, "price", sim_types[i].price, "market_price",
-                            sim_types[i].spot_price, "boot_s", sim_types[i].boot, "yards", "a",
-                            "b"));
+        json_array_append_new(list,
+                              json_pack("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s,s]}", "name",
+                                        sim_types[i].name, "vcpus", sim_types[i].cpus, "cards",
+                                        sim_types[i].gpus, "memory_gb", sim_types[i].memory,
+                                        "cache_gb", 50.0, "fetch_gb_per_s", 1.0, "price",
+                                        sim_types[i].price, "market_price", sim_types[i].spot_price,
+                                        "boot_s", sim_types[i].boot, "yards", "a", "b"));
     return json_pack("{s:o}", "frames", list);
 }
 
@@ -331,8 +331,7 @@
     if (strcmp(e->target, RP_PATH_DELETE) == 0) {
         json_array_foreach(json_object_get(body, "sheaves"), i, name) {
             for (int w = 0; w < SIM_WORKERS; w++)
-                if (s->workers[w].used &&
-                    strcmp(s->workers[w].name, json_string_value(name)) == 0)
+                if (s->workers[w].used && strcmp(s->workers[w].name, json_string_value(name)) == 0)
                     s->workers[w].used = s->workers[w].alive = false;
         }
         return 200;
@@ -343,12 +342,14 @@
     for (int w = 0; w < SIM_WORKERS; w++) {
         const struct sim_worker *m = &s->workers[w];
         if (m->used && m->rented < s->now - 3)
-            json_array_append_new(
-                list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "ref", m->name, "address",
-                                m->name, "frame", sim_types[m->type].name, "yard",
-                                sim_zones[m->zone], "loaners", m->spot, "tension",
-                                !m->alive ? "failed" : m->up ? "running" : "booting", "age_s",
-                                s->now - m->rented));
+            json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "ref", m->name,
+                                                  "address", m->name, "frame",
+                                                  sim_types[m->type].name, "yard",
+                                                  sim_zones[m->zone], "loaners", m->spot, "tension",
+                                                  !m->alive ? "failed"
+                                                  : m->up   ? "running"
+                                                            : "booting",
+                                                  "age_s", s->now - m->rented));
     }
     *out = json_pack("{s:o,s:b}", "sheaves", list, "has_next", 0);
     return 200;
@@ -364,8 +365,7 @@
 }
 
 static bool on_machine(const struct sim_task *t) {
-    return t->state == RP_TASK_WAITING || t->state == RP_TASK_RUNNING ||
-           t->state == RP_TASK_SAVING;
+    return t->state == RP_TASK_WAITING || t->state == RP_TASK_RUNNING || t->state == RP_TASK_SAVING;
 }
 
 static void check_start(struct sim *s, const struct sim_worker *w, const struct sim_task *t) {
@@ -780,6 +780,8 @@
         e->due = s->now + 0.1; /* the node takes no answer just now */
         return false;
     }
+    if (watch && e->answered)
+        return true;
     if (watch) {
         bool cut = s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until;
         out = cut ? NULL : state_news(s, e->target);
@@ -943,8 +945,8 @@
     json_t *v = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
         id, "rig", gang ? "g" : "a", "crew", "t", "haul", kind, "precedence",
-        gang ? "urgent" : "low", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb",
-        2.0, "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
+        gang ? "urgent" : "low", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0,
+        "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
         "loaners", !gang, "run_guess_s", run_s, "brace_every_s", gang ? 0.0 : 5.0, "brace_s", 1.0,
         "due_s");
     if (!v || !rp_wire_spec_read(v, &job->spec, why))
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -19,22 +19,22 @@
 
 /* Faults, as chances for a message or shares of time; all zero: a quiet day. */
 struct sim_faults {
-    double lose;      /* the request or its answer never arrives */
-    double late;      /* the request is carried out seconds later, its answer is lost */
-    double repeat;    /* a copy of the request is carried out once more, later */
-    double crash_s;   /* mean time between crashes of some node, 0: none */
-    double outage_s;  /* mean time between outages of the state service */
-    double deaf_s;    /* mean time between single nodes' cuts from the state service */
-    double hang_s;    /* mean time between hangs of some worker */
-    double death_s;   /* mean time between deaths of some worker */
-    double stall_s;   /* mean time between stalls of some node */
+    double lose;       /* the request or its answer never arrives */
+    double late;       /* the request is carried out seconds later, its answer is lost */
+    double repeat;     /* a copy of the request is carried out once more, later */
+    double crash_s;    /* mean time between crashes of some node, 0: none */
+    double outage_s;   /* mean time between outages of the state service */
+    double deaf_s;     /* mean time between single nodes' cuts from the state service */
+    double hang_s;     /* mean time between hangs of some worker */
+    double death_s;    /* mean time between deaths of some worker */
+    double stall_s;    /* mean time between stalls of some node */
     double task_error; /* chance that a task fails */
 };
 
 /* Deliberately broken worlds, to show that the checks can fail. */
 enum sim_breakage {
     SIM_SOUND,
-    SIM_WORKERS_KEEP_TASKS,  /* a lease's end kills nothing */
+    SIM_WORKERS_KEEP_TASKS, /* a lease's end kills nothing */
     SIM_STATE_IGNORES_CONDITIONS,
     SIM_WORKERS_IGNORE_STOPS /* cancelled tasks go on */
 };
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -74,8 +74,9 @@
 }
 
 int main(void) {
-    const struct CMUnitTest tests[] = {
-        cmocka_unit_test(trust_ends_before_the_lease), cmocka_unit_test(holding_alone_is_not_enough),
-        cmocka_unit_test(timers_in_order), cmocka_unit_test(bucket_keeps_its_rate)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(trust_ends_before_the_lease),
+                                       cmocka_unit_test(holding_alone_is_not_enough),
+                                       cmocka_unit_test(timers_in_order),
+                                       cmocka_unit_test(bucket_keeps_its_rate)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -15,7 +15,8 @@
 }
 
 static void whole_and_split(void **state) {
-    static const char text[] = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
+    static const char text[] =
+        "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello";
     (void)state;
     for (size_t step = 1; step <= sizeof text; step++) {
         struct rp_http_parser p;
@@ -44,8 +45,8 @@
 static void until_close(void **state) {
     struct rp_http_parser p;
     (void)state;
-    assert_int_equal(parse("HTTP/1.1 200 OK\r\nRetry-After: 7\r\n\r\nrest", 3, RP_HTTP_RESPONSE, &p),
-                     -1);
+    assert_int_equal(
+        parse("HTTP/1.1 200 OK\r\nRetry-After: 7\r\n\r\nrest", 3, RP_HTTP_RESPONSE, &p), -1);
     rp_http_parser_eof(&p);
     assert_int_equal(p.state, RP_HTTP_DONE);
     assert_string_equal(p.body, "rest");
@@ -110,10 +111,20 @@
 
 /* Whatever the bytes, however they are split: no crash, and the same outcome for each splitting. */
 static void random_bytes(void **state) {
-    static const char pieces[][24] = {"GET / HTTP/1.1\r\n", "POST /x HTTP/1.0\r\n",
-                                      "Content-Length: 4\r\n", "Transfer-Encoding: ",
-                                      "chunked\r\n", "\r\n", "3\r\nabc\r\n", "0\r\n\r\n", "\n", " ",
-                                      ":", "\x01", "Connection: close\r\n", "abcd"};
+    static const char pieces[][24] = {"GET / HTTP/1.1\r\n",
+                                      "POST /x HTTP/1.0\r\n",
+                                      "Content-Length: 4\r\n",
+                                      "Transfer-Encoding: ",
+                                      "chunked\r\n",
+                                      "\r\n",
+                                      "3\r\nabc\r\n",
+                                      "0\r\n\r\n",
+                                      "\n",
+                                      " ",
+                                      ":",
+                                      "\x01",
+                                      "Connection: close\r\n",
+                                      "abcd"};
     gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
     (void)state;
     gsl_rng_set(rng, 7);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -8,26 +8,41 @@
 static const struct rp_heuristic fcfs_sm = {RP_FCFS, RP_SM};
 
 static struct rp_plan_kind kind(int type, bool spot, double cpus, double price) {
-    return (struct rp_plan_kind){.type = type, .spot = spot, .price = price, .boot_s = 30,
-                                 .capacity = {cpus, 0, cpus * 4}};
+    return (struct rp_plan_kind){
+        .type = type, .spot = spot, .price = price, .boot_s = 30, .capacity = {cpus, 0, cpus * 4}};
 }
 
 static struct rp_plan_machine machine(int type, double cpus, double room) {
-    return (struct rp_plan_machine){.type = type, .price = 1, .capacity = {cpus, 0, cpus * 4},
-                                    .room = {room, 0, cpus * 4}, .later = {room, 0, cpus * 4},
+    return (struct rp_plan_machine){.type = type,
+                                    .price = 1,
+                                    .capacity = {cpus, 0, cpus * 4},
+                                    .room = {room, 0, cpus * 4},
+                                    .later = {room, 0, cpus * 4},
                                     .wait_s = 30};
 }
 
 static struct rp_plan_group group(uint32_t n, double cpus, double run_s) {
-    return (struct rp_plan_group){.n = n, .each = {cpus, 0, 1}, .run_s = run_s, .team = -1,
-                                  .types = 3, .zones = 3, .spot = true, .fixed_zone = -1,
+    return (struct rp_plan_group){.n = n,
+                                  .each = {cpus, 0, 1},
+                                  .run_s = run_s,
+                                  .team = -1,
+                                  .types = 3,
+                                  .zones = 3,
+                                  .spot = true,
+                                  .fixed_zone = -1,
                                   .spread_max = (n + 1) / 2};
 }
 
 static struct rp_plan_input input(struct rp_plan_kind *k, size_t nk, struct rp_plan_machine *m,
                                   size_t nm, struct rp_plan_group *g, size_t ng) {
-    return (struct rp_plan_input){.kinds = k, .n_kinds = nk, .machines = m, .n_machines = nm,
-                                  .groups = g, .n_groups = ng, .unit_s = 60, .new_max = 20};
+    return (struct rp_plan_input){.kinds = k,
+                                  .n_kinds = nk,
+                                  .machines = m,
+                                  .n_machines = nm,
+                                  .groups = g,
+                                  .n_groups = ng,
+                                  .unit_s = 60,
+                                  .new_max = 20};
 }
 
 static uint32_t put_on(const struct rp_plan *p, size_t group, size_t machine) {
@@ -116,6 +131,7 @@
     m[1].zone = 1;
     m[1].capacity.cpus = m[1].room.cpus = m[1].later.cpus = 16;
     g[1].one_zone = true;
+    g[0].n = 9;
     rp_plan_by(&in, fcfs_sm, &p);
     assert_int_equal(put_on(&p, 1, 1), 2);
     rp_plan_free(&p);
@@ -157,7 +173,8 @@
 }
 
 static void portfolio_takes_least_left_then_cheapest(void **state) {
-    struct rp_plan a = {.left = 1, .cost = 5}, b = {.left = 0, .cost = 9}, c = {.left = 0, .cost = 8};
+    struct rp_plan a = {.left = 1, .cost = 5}, b = {.left = 0, .cost = 9},
+                   c = {.left = 0, .cost = 8};
     (void)state;
     assert_true(rp_plan_better(&b, &a));
     assert_true(rp_plan_better(&c, &b));
@@ -187,8 +204,8 @@
             m[i].spot = gsl_rng_uniform(rng) < 0.3;
         }
         for (size_t i = 0; i < ng; i++) {
-            g[i] = group(1 + (uint32_t)gsl_rng_uniform_int(rng, 20), 1 + gsl_rng_uniform(rng) * 6,
-                         30);
+            g[i] =
+                group(1 + (uint32_t)gsl_rng_uniform_int(rng, 20), 1 + gsl_rng_uniform(rng) * 6, 30);
             g[i].kind = gsl_rng_uniform(rng) < 0.3 ? RP_GANG : RP_ARRAY;
             g[i].spot = gsl_rng_uniform(rng) < 0.5;
             g[i].one_zone = gsl_rng_uniform(rng) < 0.3;
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -35,7 +35,8 @@
         const char *text, *told;
     } cases[] = {
         {"round_perio_s: 1", "op:1:1: unknown field"},
-        {"\n  round_period_s: 1\nround_period_s: 2", "op:3:1: field 'round_period_s' is given twice"},
+        {"\n  round_period_s: 1\nround_period_s: 2",
+         "op:3:1: field 'round_period_s' is given twice"},
         {"round_period_s 1", "op:1:16: round_period_s: ':' was expected"},
         {"round_period_s: x", "op:1:17: round_period_s: a number"},
         {"round_period_s: 1e999", "op:1:17: round_period_s: number out of range"},
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -17,6 +17,7 @@
     sim_submit(s, 45, "ensemble", 4, 4, 25, 60 + (double)(seed % 13));
     sim_submit(s, 60, "sweep", 40, 1, 6, 0);
     sim_submit(s, 80, "sweep", 12, 3, 20, 0);
+    sim_submit(s, 15, "sweep", 2, 1, 200, 40); /* ends by its cancellation only */
 }
 
 static void quiet_day(void **state) {
@@ -74,17 +75,22 @@
 }
 
 static void everything(void **state) {
-    static const struct sim_faults f = {.lose = 0.01,  .late = 0.01,  .repeat = 0.03,
-                                        .crash_s = 25, .outage_s = 80, .deaf_s = 60,
-                                        .hang_s = 25,  .death_s = 40, .stall_s = 30,
+    static const struct sim_faults f = {.lose = 0.01,
+                                        .late = 0.01,
+                                        .repeat = 0.03,
+                                        .crash_s = 25,
+                                        .outage_s = 80,
+                                        .deaf_s = 60,
+                                        .hang_s = 25,
+                                        .death_s = 40,
+                                        .stall_s = 30,
                                         .task_error = 0.01};
     (void)state;
     days_of_trouble(&f, 500, 24);
 }
 
 /* The checks can fail: each broken world must be caught on some day. */
-static void catches(enum sim_breakage breakage, const struct sim_faults *faults,
-                    const char *rule) {
+static void catches(enum sim_breakage breakage, const struct sim_faults *faults, const char *rule) {
     for (unsigned long seed = 900; seed < 930; seed++) {
         struct sim *s = sim_new(seed, faults, breakage);
         submit_some(s, seed);
@@ -108,11 +114,13 @@
 }
 
 int main(void) {
-    const struct CMUnitTest tests[] = {
-        cmocka_unit_test(quiet_day),        cmocka_unit_test(bad_network),
-        cmocka_unit_test(crashes),          cmocka_unit_test(state_troubles),
-        cmocka_unit_test(machine_troubles), cmocka_unit_test(everything),
-        cmocka_unit_test(broken_worlds_are_caught)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(quiet_day),
+                                       cmocka_unit_test(bad_network),
+                                       cmocka_unit_test(crashes),
+                                       cmocka_unit_test(state_troubles),
+                                       cmocka_unit_test(machine_troubles),
+                                       cmocka_unit_test(everything),
+                                       cmocka_unit_test(broken_worlds_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -9,7 +9,8 @@
     "{\"ref\":\"j-000412\",\"rig\":\"train\",\"crew\":\"vision\",\"haul\":\"ensemble\","
     "\"precedence\":\"urgent\",\"lifts\":16,\"vcpus\":8.0,\"cards\":1,\"memory_gb\":64.0,"
     "\"payload\":\"img-07\",\"image_gb\":6.2,\"frames\":[\"g8\"],\"yard\":null,\"one_zone\":true,"
-    "\"spread\":false,\"loaners\":true,\"run_guess_s\":240.0,\"brace_every_s\":30.0,\"brace_s\":4.0,"
+    "\"spread\":false,\"loaners\":true,\"run_guess_s\":240.0,\"brace_every_s\":30.0,\"brace_s\":4."
+    "0,"
     "\"due_s\":900.0,\"new\":[1]}";
 
 static bool reads(const char *text) {
@@ -22,8 +23,8 @@
 
 /* `good` with the value of a field replaced. */
 static bool reads_with(const char *field, const char *value) {
-    json_t *v = json_loads(good, 0, NULL), *x = value ? json_loads(value, JSON_DECODE_ANY, NULL)
-                                                      : NULL;
+    json_t *v = json_loads(good, 0, NULL),
+           *x = value ? json_loads(value, JSON_DECODE_ANY, NULL) : NULL;
     if (value)
         json_object_set_new(v, field, x);
     else
@@ -62,13 +63,13 @@
 
 static void bad_submissions(void **state) {
     static const char *const cases[][2] = {
-        {"ref", "\"x-1\""},      {"ref", "\"j-\""},       {"ref", "\"j-1/2\""},   {"ref", "7"},
-        {"lifts", "0"},          {"lifts", "100001"},     {"lifts", "1.5"},       {"lifts", "\"1\""},
-        {"vcpus", "-1"},         {"vcpus", "\"8\""},      {"memory_gb", "null"},  {"haul", "\"x\""},
-        {"precedence", "null"},  {"frames", "[]"},        {"frames", "[1]"},      {"frames", "\"g8\""},
-        {"yard", "3"},           {"one_zone", "1"},       {"loaners", "null"},    {"due_s", "-3"},
-        {"run_guess_s", "true"}, {"payload", "\"\""},     {"crew", "null"},       {"rig", NULL},
-        {"vcpus", NULL},         {"lifts", NULL},         {"spread", NULL},       {"brace_s", NULL}};
+        {"ref", "\"x-1\""},      {"ref", "\"j-\""},   {"ref", "\"j-1/2\""},  {"ref", "7"},
+        {"lifts", "0"},          {"lifts", "100001"}, {"lifts", "1.5"},      {"lifts", "\"1\""},
+        {"vcpus", "-1"},         {"vcpus", "\"8\""},  {"memory_gb", "null"}, {"haul", "\"x\""},
+        {"precedence", "null"},  {"frames", "[]"},    {"frames", "[1]"},     {"frames", "\"g8\""},
+        {"yard", "3"},           {"one_zone", "1"},   {"loaners", "null"},   {"due_s", "-3"},
+        {"run_guess_s", "true"}, {"payload", "\"\""}, {"crew", "null"},      {"rig", NULL},
+        {"vcpus", NULL},         {"lifts", NULL},     {"spread", NULL},      {"brace_s", NULL}};
     (void)state;
     for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
         if (reads_with(cases[i][0], cases[i][1]))
@@ -101,8 +102,8 @@
     (void)state;
     assert_non_null(c);
     for (int i = 0; i < 400; i++) {
-        c[i] = (struct rp_command){.op = RP_OP_STOP, .task = 99999, .attempt = UINT64_MAX >> 1,
-                                   .grace_s = 12.3456789};
+        c[i] = (struct rp_command){
+            .op = RP_OP_STOP, .task = 99999, .attempt = UINT64_MAX >> 1, .grace_s = 12.3456789};
         strcpy(c[i].job, "j-12345678901234567890");
     }
     char *text = rp_wire_report_answer(UINT64_MAX >> 1, c, 400);
@@ -138,8 +139,8 @@
 }
 
 int main(void) {
-    const struct CMUnitTest tests[] = {
-        cmocka_unit_test(submissions), cmocka_unit_test(bad_submissions), cmocka_unit_test(reports),
-        cmocka_unit_test(answers_fit), cmocka_unit_test(progress)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(submissions),
+                                       cmocka_unit_test(bad_submissions), cmocka_unit_test(reports),
+                                       cmocka_unit_test(answers_fit), cmocka_unit_test(progress)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
