--- a/src/node.c
+++ b/src/node.c
@@ -7,7 +7,7 @@
 #include "wire.h"
 
 #define SUMMARY_S 2.0
-#define ROUND_GAP_S 1.0 /* rounds that news call for keep this distance */
+#define ROUND_GAP_S 0.1 /* rounds that news call for keep this distance */
 #define PATH_SUMMARY "/peer/summary"
 #define PATH_STATUS "/status"
 
@@ -163,10 +163,16 @@
 /* Something changed that a round could use. */
 static void on_room(void *arg) {
     struct rp_node *n = arg;
-    if (n->at != RP_NODE_LEADING || n->room_timer.place)
+    if (n->at != RP_NODE_LEADING)
         return;
     double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
-    rp_timer_set(n->loop, &n->room_timer, since > ROUND_GAP_S ? 0 : ROUND_GAP_S - since);
+    if (since >= ROUND_GAP_S) {
+        /* Before the report that brought the news is answered: its answer carries the starts. */
+        rp_timer_cancel(n->loop, &n->room_timer);
+        rp_round_run(&n->round);
+    } else if (!n->room_timer.place) {
+        rp_timer_set(n->loop, &n->room_timer, ROUND_GAP_S - since);
+    }
 }
 
 static void room_due(void *arg) {
