--- a/src/round.c
+++ b/src/round.c
@@ -6,6 +6,7 @@
 #include "log.h"
 
 #define NO_LIMIT 1e15
+#define LATE 1e6 /* slack of jobs that can meet no aim any more starts here */
 #define NEW_MAX 60
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -219,6 +220,31 @@
     return spec->each.gpus <= 0 && plain ? plain : types;
 }
 
+/* Time to spare until the first of the class's aims that the job can still meet; a job past all of
+ * them comes after those that aren't, the least late first. */
+static double slack(const struct rp_round *r, const struct rp_job *job,
+                    const struct rp_plan_group *g) {
+    const struct rp_settings *s = r->settings;
+    double best = NO_LIMIT, latest = 0;
+    for (size_t i = 0; i < s->n_objectives; i++) {
+        const struct rp_objective *aim = &s->objectives[i];
+        if (strcmp(aim->class_name, job->spec.class_name) != 0)
+            continue;
+        double due = aim->kind == RP_AIM_DEADLINE ? job->spec.deadline_s * aim->times
+                     : aim->kind == RP_AIM_WAIT   ? aim->within_s + g->run_s
+                                                  : aim->within_s;
+        double left = due - g->age_s - g->run_s;
+        if (due <= 0)
+            continue;
+        latest = fmax(latest, due);
+        if (left > 0 && left < best)
+            best = left;
+    }
+    if (best < NO_LIMIT)
+        return best;
+    return latest > 0 ? LATE + g->age_s - latest : NO_LIMIT;
+}
+
 static void build_group(const struct rp_round *r, struct rp_job *job, uint32_t n,
                         struct rp_plan_group *g, struct timespec now) {
     const struct rp_job_spec *spec = &job->spec;
@@ -239,8 +265,7 @@
                                 .spread = spec->spread,
                                 .fixed_zone = -1,
                                 .spread_max = (spec->n_tasks + 1) / 2};
-    if (spec->deadline_s > 0)
-        g->slack_s = spec->deadline_s - g->age_s;
+    g->slack_s = slack(r, job, g);
     for (size_t z = 0; z < c->n_zones; z++) {
         if (!*spec->zone || strcmp(spec->zone, c->zones[z]) == 0)
             g->zones |= 1u << z;
