--- a/src/plan.c
+++ b/src/plan.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 #define EPS 1e-9
+#define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
-static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF"};
+static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF", "SRW", "ESW"};
 static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA", "LD",
                                             "ED",  "LAA", "EAA", "CFH", "FFH"};
 
@@ -78,7 +79,15 @@
 
 /* ---- orders ---- */
 
-static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place) {
+static double fleet_share(const struct rp_resources *each, const struct rp_resources *fleet) {
+    double share = fleet->cpus > 0 ? each->cpus / fleet->cpus : 0;
+    if (each->gpus > 0 && fleet->gpus > 0)
+        share = fmax(share, each->gpus / fleet->gpus);
+    return share;
+}
+
+static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place,
+                        const struct rp_resources *fleet) {
     double size = g->each.cpus + 8 * g->each.gpus + g->each.memory_gb / 8;
     switch (order) {
     case RP_FCFS:
@@ -95,6 +104,10 @@
         return g->run_s;
     case RP_EDF:
         return g->slack_s;
+    case RP_SRW:
+        return (g->slack_s >= RP_LATE_S ? RP_LATE_S : 0) + size * g->n * g->run_s;
+    case RP_ESW:
+        return g->slack_s + ESW_WEIGHT * g->n * g->run_s * fleet_share(&g->each, fleet);
     }
     return 0;
 }
@@ -142,9 +155,12 @@
 
 static void sort_groups(struct run *r, enum rp_job_order order) {
     size_t n = r->in->n_groups;
+    struct rp_resources fleet = {0};
+    for (size_t i = 0; i < r->in->n_machines; i++)
+        take(&fleet, &r->in->machines[i].capacity, -1);
     for (size_t i = 0; i < n; i++) {
         r->group_order[i] = i;
-        r->key[i] = group_key(&r->in->groups[i], order, i);
+        r->key[i] = group_key(&r->in->groups[i], order, i, &fleet);
     }
     sort_by(r->group_order, r->key, n);
     /* Priority comes before every order: work never waits for work of a lower priority. */
--- a/src/plan.h
+++ b/src/plan.h
@@ -5,7 +5,10 @@
 
 #include "model.h"
 
-enum rp_job_order { RP_FCFS, RP_RR, RP_LJF, RP_SJF, RP_LTJF, RP_STJF, RP_EDF };
+/* Slack of jobs that can meet no aim any more starts here. */
+#define RP_LATE_S 1e6
+
+enum rp_job_order { RP_FCFS, RP_RR, RP_LJF, RP_SJF, RP_LTJF, RP_STJF, RP_EDF, RP_SRW, RP_ESW };
 enum rp_machine_order {
     RP_RND,
     RP_LM,
--- a/src/round.c
+++ b/src/round.c
@@ -6,7 +6,6 @@
 #include "log.h"
 
 #define NO_LIMIT 1e15
-#define LATE 1e6 /* slack of jobs that can meet no aim any more starts here */
 #define NEW_MAX 60
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -242,7 +241,7 @@
     }
     if (best < NO_LIMIT)
         return best;
-    return latest > 0 ? LATE + g->age_s - latest : NO_LIMIT;
+    return latest > 0 ? RP_LATE_S + g->age_s - latest : NO_LIMIT;
 }
 
 static void build_group(const struct rp_round *r, struct rp_job *job, uint32_t n,
--- a/src/settings.c
+++ b/src/settings.c
@@ -222,8 +222,7 @@
 }
 
 void rp_tuning_defaults(struct rp_tuning *t) {
-    static const char *const heuristics[] = {"EDF-SM", "EDF-LD", "EDF-CFH",
-                                             "EDF-LM", "EDF-ED"};
+    static const char *const heuristics[] = {"ESW-SM", "ESW-LD", "ESW-CFH", "ESW-LM", "ESW-ED"};
     *t = (struct rp_tuning){.round_period_s = 10,
                             .billing_unit_s = 60,
                             .return_margin_s = 10,
