Preemption: one machine for a job, held until it is free

Cause: each round stopped tasks of another machine for the same gang, and low tasks took the room at once.

--- a/src/picture.h
+++ b/src/picture.h
@@ -82,6 +82,7 @@
     bool faulty;
     struct timespec told; /* when a direct command last went out */
     bool telling;
+    char reserved[RP_ID_MAX]; /* room is being made here for this job, "" for none */
     bool delete_sent;
     unsigned list_missing;
     bool listed, listed_failed;
--- a/src/round.c
+++ b/src/round.c
@@ -7,6 +7,7 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
+#define SOON_S 8 /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
@@ -136,6 +137,33 @@
     out->mean_arrival_s = m->n_places ? sum / (double)m->n_places : 0;
 }
 
+static bool room_fits(const struct rp_resources *need, const struct rp_resources *room) {
+    return need->cpus <= room->cpus + 1e-9 && need->gpus <= room->gpus + 1e-9 &&
+           need->memory_gb <= room->memory_gb + 1e-9;
+}
+
+/* The job that room is being made for on this machine, while it is still waited for. */
+static const struct rp_job *reserved_for(const struct rp_round *r, const struct rp_machine *m) {
+    const struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
+    if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || !rp_machine_usable(m))
+        return NULL;
+    struct rp_resources room = rp_machine_free(r->picture, m);
+    return room_fits(&job->spec.each, &room) ? NULL : job;
+}
+
+static bool has_reservation(const struct rp_round *r, const struct rp_job *job) {
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        if (reserved_for(r, m) == job)
+            return true;
+    return false;
+}
+
+static void sub_resources(struct rp_resources *a, const struct rp_resources *b) {
+    a->cpus = fmax(0, a->cpus - b->cpus);
+    a->gpus = fmax(0, a->gpus - b->gpus);
+    a->memory_gb = fmax(0, a->memory_gb - b->memory_gb);
+}
+
 static void describe_machine(const struct rp_round *r, struct rp_machine *m,
                              struct rp_plan_machine *out, struct timespec now) {
     const struct rp_type *type = &catalog(r)->types[m->type];
@@ -157,6 +185,12 @@
     if (rp_machine_usable(m))
         out->room = room;
     describe_work(r, m, out, now);
+    /* Room being made for a job isn't given to others while the rest of it is still in use. */
+    const struct rp_job *job = reserved_for(r, m);
+    if (job) {
+        sub_resources(&out->room, &job->spec.each);
+        sub_resources(&out->later, &job->spec.each);
+    }
 }
 
 static bool plannable(const struct rp_round *r, const struct rp_machine *m, struct timespec now) {
@@ -297,7 +331,7 @@
         for (struct rp_job *job = r->jobs->first; job && x->in.n_groups < most; job = job->next) {
             uint32_t n = startable(job);
             if (n == 0 || job->state != RP_JOB_OPEN || (int)job->spec.priority != priority ||
-                !rp_ts_reached(now, job->held_until))
+                !rp_ts_reached(now, job->held_until) || has_reservation(r, job))
                 continue;
             build_group(r, job, n, &x->groups[x->in.n_groups++], now);
         }
@@ -407,11 +441,6 @@
             rp_picture_stop_job(r->picture, job, 0);
 }
 
-static bool room_fits(const struct rp_resources *need, const struct rp_resources *room) {
-    return need->cpus <= room->cpus + 1e-9 && need->gpus <= room->gpus + 1e-9 &&
-           need->memory_gb <= room->memory_gb + 1e-9;
-}
-
 static bool may_stop(const struct rp_place *place, enum rp_priority above) {
     return place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
            place->job->spec.priority < above;
@@ -428,6 +457,10 @@
         if (!may_stop(place, job->spec.priority))
             continue;
         add_resources(&room, &place->job->spec.each);
+        /* What is being stopped already costs nothing more: so a second look chooses the same
+         * machine again, and not one more. */
+        if (place->stop)
+            continue;
         double ran = place->running.tv_sec ? rp_ts_since(now, place->running) : 0;
         price += place->job->spec.checkpoint_s > 0 ? fmin(ran, 5) : ran;
     }
@@ -436,11 +469,16 @@
 
 static void stop_for(struct rp_round *r, struct rp_machine *m, const struct rp_job *job) {
     struct rp_resources room = rp_machine_free(r->picture, m);
+    unsigned stopped = 0;
+    for (size_t i = 0; i < m->n_places; i++)
+        if (m->places[i].stop && may_stop(&m->places[i], job->spec.priority))
+            add_resources(&room, &m->places[i].job->spec.each);
     for (size_t i = m->n_places; i-- > 0 && !room_fits(&job->spec.each, &room);) {
         struct rp_place *place = &m->places[i];
-        if (!may_stop(place, job->spec.priority))
+        if (place->stop || !may_stop(place, job->spec.priority))
             continue;
         add_resources(&room, &place->job->spec.each);
+        stopped++;
         if (place->state == RP_PLACE_PLANNED) {
             rp_place_drop(r->picture, m, i);
             continue;
@@ -449,13 +487,16 @@
         rp_place_stop(place, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
         r->n_preempted++;
     }
+    strcpy(m->reserved, job->spec.id);
+    if (stopped)
+        rp_info("job %s gets room on %s: tasks stopped=%u", job->spec.id, m->name, stopped);
 }
 
-static void preempt_for(struct rp_round *r, struct rp_job *job, struct timespec now) {
+static void preempt_for(struct rp_round *r, const struct rp_job *job, struct timespec now) {
     struct rp_machine *best = NULL;
     double best_price = 0;
     for (struct rp_machine *m = r->picture->first; m; m = m->next) {
-        if (!rp_machine_usable(m) ||
+        if (!rp_machine_usable(m) || reserved_for(r, m) ||
             !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot))
             continue;
         double price = stop_price(r, m, job, now);
@@ -464,11 +505,8 @@
             best_price = price;
         }
     }
-    if (!best)
-        return;
-    rp_info("job %s gets room on %s", job->spec.id, best->name);
-    stop_for(r, best, job);
-    job->held_until = (struct timespec){0};
+    if (best)
+        stop_for(r, best, job);
 }
 
 /* Only gangs of one task are given room this way, one machine at a time: what is stopped for a
@@ -478,7 +516,7 @@
     if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
         return;
     for (size_t g = 0; g < x->in.n_groups; g++) {
-        struct rp_job *job = x->groups[g].ref;
+        const struct rp_job *job = x->groups[g].ref;
         bool now_placed = false, soon = false;
         if (job->spec.priority < RP_HIGH || job->spec.kind != RP_GANG || job->spec.n_tasks != 1)
             continue;
@@ -489,8 +527,7 @@
             now_placed |= put->now;
             const struct rp_machine *m =
                 put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
-            for (size_t i = 0; m && i < m->n_places; i++)
-                soon |= m->places[i].stop; /* room is being made there already */
+            soon |= m && m->state == RP_MACHINE_UP && x->machines[put->machine].busy_s < SOON_S;
         }
         if (!now_placed && !soon)
             preempt_for(r, job, now);
