--- a/src/plan.c
+++ b/src/plan.c
@@ -447,7 +447,8 @@
 }
 
 double rp_plan_cost(double price, double age_s, double end_s, double unit_s) {
-    return price / 3600 * unit_s * ceil((age_s + end_s) / unit_s - EPS);
+    double charged = unit_s * ceil((age_s + end_s) / unit_s - EPS);
+    return price / 3600 * fmax(charged, RP_MIN_CHARGE_S);
 }
 
 static void price_plan(struct run *r) {
--- a/src/plan.h
+++ b/src/plan.h
@@ -5,6 +5,9 @@
 
 #include "model.h"
 
+/* A machine that is returned costs at least this long (PROTOCOL, price). */
+#define RP_MIN_CHARGE_S 60.0
+
 /* Slack of jobs that can meet no aim any more starts here. */
 #define RP_LATE_S 1e6
 
--- a/src/round.c
+++ b/src/round.c
@@ -426,8 +426,10 @@
             wanted |= plan->puts[p].machine == i;
         if (!m || wanted || m->n_places > 0 || m->n_foreign > 0 || m->state != RP_MACHINE_UP)
             continue;
-        double into = fmod(rp_ts_since(now, m->rented), t->billing_unit_s);
-        if (into >= t->billing_unit_s - t->return_margin_s)
+        double age = rp_ts_since(now, m->rented);
+        double into = fmod(age, t->billing_unit_s);
+        /* The first minute is paid for in any case (PROTOCOL, price). */
+        if (age >= RP_MIN_CHARGE_S - t->return_margin_s && into >= t->billing_unit_s - t->return_margin_s)
             rp_fleet_return(r->fleet, m, "idle near its unit's end");
     }
 }
