--- a/src/plan.c
+++ b/src/plan.c
@@ -10,7 +10,7 @@
 
 static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF", "SRW", "ESW"};
 static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA", "LD",
-                                            "ED",  "LAA", "EAA", "CFH", "FFH"};
+                                            "ED",  "LAA", "EAA", "CFH", "FFH", "BF"};
 
 static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
     for (size_t i = 0; i < n; i++)
@@ -112,6 +112,13 @@
     return 0;
 }
 
+/* The part of the machine that is free, by its main resource. */
+static double room_share(const struct rp_plan_machine *m) {
+    if (m->capacity.gpus > 0)
+        return m->room.gpus / m->capacity.gpus;
+    return m->capacity.cpus > 0 ? m->room.cpus / m->capacity.cpus : 0;
+}
+
 static double machine_key(const struct rp_plan_machine *m, enum rp_machine_order order,
                           double unit_s, gsl_rng *rng) {
     double size = m->capacity.cpus + 8 * m->capacity.gpus;
@@ -139,6 +146,8 @@
         return -into_unit;
     case RP_FFH:
         return into_unit;
+    case RP_BF:
+        return room_share(m);
     }
     return 0;
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -23,7 +23,8 @@
     RP_LAA,
     RP_EAA,
     RP_CFH,
-    RP_FFH
+    RP_FFH,
+    RP_BF /* least room first */
 };
 
 struct rp_heuristic {
--- a/src/round.c
+++ b/src/round.c
@@ -7,6 +7,7 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
+#define WAIT_BOOTS 1.0
 #define SOON_S 8 /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -176,7 +177,7 @@
                                     .fetch_gb_per_s = type->fetch_gb_per_s,
                                     .capacity = type->capacity,
                                     .later = room,
-                                    .wait_s = type->boot_s,
+                                    .wait_s = type->boot_s * WAIT_BOOTS,
                                     .age_s = rp_ts_since(now, m->rented)};
     if (m->state == RP_MACHINE_BOOTING) {
         out->wait_s = fmax(type->boot_s - out->age_s, 2);
@@ -225,7 +226,7 @@
                                          .fetch_gb_per_s = k->fetch_gb_per_s,
                                          .capacity = k->capacity,
                                          .later = k->capacity,
-                                         .wait_s = c->types[k->type].boot_s};
+                                         .wait_s = c->types[k->type].boot_s * WAIT_BOOTS};
     }
     x->in.machines = x->machines;
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -222,7 +222,7 @@
 }
 
 void rp_tuning_defaults(struct rp_tuning *t) {
-    static const char *const heuristics[] = {"ESW-SM", "ESW-LD", "ESW-CFH", "ESW-LM", "ESW-ED"};
+    static const char *const heuristics[] = {"ESW-SM", "ESW-LD", "ESW-CFH", "ESW-BF", "ESW-ED"};
     *t = (struct rp_tuning){.round_period_s = 10,
                             .billing_unit_s = 20,
                             .return_margin_s = 10,
