--- a/src/round.c
+++ b/src/round.c
@@ -7,7 +7,6 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
-#define WAIT_BOOTS 1.0
 #define SOON_S 8 /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -177,7 +176,7 @@
                                     .fetch_gb_per_s = type->fetch_gb_per_s,
                                     .capacity = type->capacity,
                                     .later = room,
-                                    .wait_s = type->boot_s * WAIT_BOOTS,
+                                    .wait_s = type->boot_s,
                                     .age_s = rp_ts_since(now, m->rented)};
     if (m->state == RP_MACHINE_BOOTING) {
         out->wait_s = fmax(type->boot_s - out->age_s, 2);
@@ -226,7 +225,7 @@
                                          .fetch_gb_per_s = k->fetch_gb_per_s,
                                          .capacity = k->capacity,
                                          .later = k->capacity,
-                                         .wait_s = c->types[k->type].boot_s * WAIT_BOOTS};
+                                         .wait_s = c->types[k->type].boot_s};
     }
     x->in.machines = x->machines;
 }
@@ -537,6 +536,35 @@
     }
 }
 
+static double main_of(const struct rp_resources *c) {
+    return c->gpus > 0 ? c->gpus : c->cpus;
+}
+
+/* For the log: where the capacity of each type goes. */
+static void log_use(const struct rp_round *r) {
+    const struct rp_catalog *c = catalog(r);
+    for (size_t t = 0; t < c->n_types; t++) {
+        double total = 0, by[RP_TASK_EXITED + 1] = {0};
+        unsigned up = 0, booting = 0;
+        for (const struct rp_machine *m = r->picture->first; m; m = m->next) {
+            if (m->type != (int)t)
+                continue;
+            up += m->state == RP_MACHINE_UP;
+            booting += m->state == RP_MACHINE_BOOTING;
+            total += m->state == RP_MACHINE_UP ? main_of(&c->types[t].capacity) : 0;
+            for (size_t i = 0; i < m->n_places; i++)
+                if (m->places[i].state != RP_PLACE_EXITED)
+                    by[m->places[i].task_state] += c->types[t].capacity.gpus > 0
+                                                       ? m->places[i].job->spec.each.gpus
+                                                       : m->places[i].job->spec.each.cpus;
+        }
+        rp_debug("use %s: up=%u booting=%u capacity=%.0f fetching=%.1f waiting=%.1f running=%.1f "
+                 "saving=%.1f",
+                 c->types[t].name, up, booting, total, by[RP_TASK_FETCHING], by[RP_TASK_WAITING],
+                 by[RP_TASK_RUNNING], by[RP_TASK_SAVING]);
+    }
+}
+
 void rp_round_run(struct rp_round *r) {
     struct timespec now = rp_loop_now(r->loop);
     struct input x;
@@ -555,6 +583,8 @@
     rp_debug("round %lu: jobs=%zu machines=%zu now=%u wait=%u new=%zu left=%.0f cost=%.3f by %s",
              r->n_rounds, x.in.n_groups, x.in.n_machines, plan.n_now, plan.n_wait, plan.n_fresh,
              plan.left, plan.cost, r->settings->tuning.heuristics[winner]);
+    if (rp_log_current() >= RP_LOG_DEBUG && r->n_rounds % 10 == 0)
+        log_use(r);
     apply_starts(r, &x, &plan);
     /* While machines from before the takeover are unknown, what they run is, too: renting for
      * tasks that may be running already would be waste. */
