Room on machines that hold the image is waited for, up to half a fetch's time

Cause: a quarter of the GPU machines' time goes on fetches. Conclusion: kept at 0.5 for all but urgent work.

--- a/src/plan.c
+++ b/src/plan.c
@@ -6,10 +6,12 @@
 #include <string.h>
 
 #define EPS 1e-9
-#define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
+#define HOLDER_SHARE 0.5 /* of a fetch's time that room with the image is waited for */
+#define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
-static const char *const job_names[] = {"FCFS", "RR", "LJF", "SJF", "LTJF", "STJF", "EDF", "SRW", "ESW"};
-static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA", "LD",
+static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
+                                        "STJF", "EDF", "SRW", "ESW"};
+static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA",  "LD",
                                             "ED",  "LAA", "EAA", "CFH", "FFH", "BF"};
 
 static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
@@ -280,15 +282,47 @@
     put(r, pl, at, most, !later, end);
 }
 
+/* Until one task of the group fits on the machine, by its work's estimated ends. */
+static double fits_after(const struct rp_plan_machine *m, const struct rp_plan_group *g) {
+    struct rp_resources room = m->room;
+    if (fits(&g->each, &room, 1))
+        return 0;
+    for (size_t i = 0; i < m->n_ends; i++) {
+        take(&room, &m->ends[i].gives, -1);
+        if (fits(&g->each, &room, 1))
+            return m->ends[i].s;
+    }
+    return INFINITY;
+}
+
+/* Machines that have the image and will have room before a fetch elsewhere could be over: waiting
+ * for them costs no time, and the fetch's time isn't paid for. */
+static void try_image_holders(struct run *r, struct placing *pl) {
+    const struct rp_plan_group *g = pl->g;
+    /* Urgent work has room made for it rather than wait (measured: it lost by waiting). */
+    if (g->priority >= RP_HIGH)
+        return;
+    for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
+        size_t at = r->machine_order[i];
+        const struct rp_plan_machine *m = &r->in->machines[at];
+        if (g->has_image && g->has_image[at] &&
+            fits_after(m, g) < HOLDER_SHARE * fetch_s(g, m->fetch_gb_per_s, false))
+            try_machine(r, pl, at, true);
+    }
+}
+
 /* Machines that have the image come first: a fetch costs a good part of a short task's time. */
 static void try_machines(struct run *r, struct placing *pl, bool later) {
-    for (int with_image = 1; with_image >= 0; with_image--)
+    for (int with_image = 1; with_image >= 0; with_image--) {
+        if (!later && !with_image)
+            try_image_holders(r, pl);
         for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
             size_t at = r->machine_order[i];
             bool has = pl->g->has_image && pl->g->has_image[at];
             if (has == (with_image == 1))
                 try_machine(r, pl, at, later);
         }
+    }
 }
 
 static void try_fresh(struct run *r, struct placing *pl) {
--- a/src/plan.h
+++ b/src/plan.h
@@ -44,8 +44,16 @@
     struct rp_resources capacity;
 };
 
+/* Resources that running work gives back at its estimated end. */
+struct rp_plan_end {
+    double s;
+    struct rp_resources gives;
+};
+
 struct rp_plan_machine {
     void *ref;
+    const struct rp_plan_end *ends; /* in the order of time */
+    size_t n_ends;
     int type, zone;
     bool spot;
     double price;
--- a/src/round.c
+++ b/src/round.c
@@ -7,7 +7,7 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
-#define SOON_S 8 /* room that comes by itself this soon is waited for */
+#define SOON_S 8     /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
@@ -55,6 +55,8 @@
     struct rp_plan_group *groups;
     struct rp_plan_team *teams;
     bool *has_image;
+    struct rp_plan_end *ends;
+    size_t n_ends;
 };
 
 static void input_free(struct input *x) {
@@ -63,6 +65,7 @@
     free(x->groups);
     free(x->teams);
     free(x->has_image);
+    free(x->ends);
 }
 
 static const struct rp_catalog *catalog(const struct rp_round *r) {
@@ -118,9 +121,19 @@
     a->memory_gb += b->memory_gb;
 }
 
+static void add_end(struct rp_plan_end *ends, size_t *n, double s,
+                    const struct rp_resources *gives) {
+    size_t at = (*n)++;
+    for (; at > 0 && ends[at - 1].s > s; at--)
+        ends[at] = ends[at - 1];
+    ends[at] = (struct rp_plan_end){.s = s, .gives = *gives};
+}
+
 static void describe_work(const struct rp_round *r, const struct rp_machine *m,
-                          struct rp_plan_machine *out, struct timespec now) {
+                          struct rp_plan_machine *out, struct rp_plan_end *ends,
+                          struct timespec now) {
     double sum = 0;
+    out->ends = ends;
     for (size_t i = 0; i < m->n_places; i++) {
         const struct rp_place *place = &m->places[i];
         if (place->state == RP_PLACE_EXITED)
@@ -131,6 +144,7 @@
         out->first_arrival_s = fmax(out->first_arrival_s, age);
         out->last_arrival_s = sum == 0 ? age : fmin(out->last_arrival_s, age);
         sum += age;
+        add_end(ends, &out->n_ends, left, &place->job->spec.each);
         if (left <= out->wait_s)
             add_resources(&out->later, &place->job->spec.each);
     }
@@ -165,7 +179,8 @@
 }
 
 static void describe_machine(const struct rp_round *r, struct rp_machine *m,
-                             struct rp_plan_machine *out, struct timespec now) {
+                             struct rp_plan_machine *out, struct rp_plan_end *ends,
+                             struct timespec now) {
     const struct rp_type *type = &catalog(r)->types[m->type];
     struct rp_resources room = rp_machine_free(r->picture, m);
     *out = (struct rp_plan_machine){.ref = m,
@@ -184,7 +199,7 @@
     }
     if (rp_machine_usable(m))
         out->room = room;
-    describe_work(r, m, out, now);
+    describe_work(r, m, out, ends, now);
     /* Room being made for a job isn't given to others while the rest of it is still in use. */
     const struct rp_job *job = reserved_for(r, m);
     if (job) {
@@ -207,11 +222,17 @@
     for (size_t i = 0; i < x->in.n_kinds; i++)
         pending += rp_fleet_pending(r->fleet, x->kinds[i].type, x->kinds[i].zone, x->kinds[i].spot);
     x->machines = calloc(r->picture->n_machines + pending + 1, sizeof *x->machines);
-    if (!x->machines)
+    size_t places = 1;
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        places += m->n_places;
+    x->ends = calloc(places, sizeof *x->ends);
+    if (!x->machines || !x->ends)
         return;
     for (struct rp_machine *m = r->picture->first; m; m = m->next)
-        if (plannable(r, m, now))
-            describe_machine(r, m, &x->machines[x->in.n_machines++], now);
+        if (plannable(r, m, now)) {
+            describe_machine(r, m, &x->machines[x->in.n_machines++], &x->ends[x->n_ends], now);
+            x->n_ends += m->n_places;
+        }
     /* What has been asked for and not answered yet holds its tasks, too. */
     for (size_t i = 0; i < x->in.n_kinds; i++) {
         const struct rp_plan_kind *k = &x->kinds[i];
@@ -361,7 +382,7 @@
     build_machines(r, x, now);
     build_groups(r, x, now);
     build_teams(r, x);
-    return x->kinds && x->machines && x->groups && x->teams && x->has_image;
+    return x->kinds && x->machines && x->ends && x->groups && x->teams && x->has_image;
 }
 
 /* ---- applying the winner ---- */
@@ -429,7 +450,8 @@
         double age = rp_ts_since(now, m->rented);
         double into = fmod(age, t->billing_unit_s);
         /* The first minute is paid for in any case (PROTOCOL, price). */
-        if (age >= RP_MIN_CHARGE_S - t->return_margin_s && into >= t->billing_unit_s - t->return_margin_s)
+        if (age >= RP_MIN_CHARGE_S - t->return_margin_s &&
+            into >= t->billing_unit_s - t->return_margin_s)
             rp_fleet_return(r->fleet, m, "idle near its unit's end");
     }
 }
