Learn run times from a job's own tasks; empty machines whose last work fits elsewhere

Cause: all tasks of a job run about equally long (seen in logs), owners' guesses are off by half; tails keep machines for a task or two.

--- a/src/jobs.c
+++ b/src/jobs.c
@@ -554,8 +554,12 @@
     return c;
 }
 
-void rp_jobs_observe(struct rp_jobs *t, const struct rp_job *job, double run_s) {
+void rp_jobs_observe(struct rp_jobs *t, struct rp_job *job, double run_s) {
     struct rp_class_stats *c = class_stats(t, job->spec.class_name);
+    if (job->interrupted)
+        return;
+    job->run_sum_s += run_s;
+    job->n_runs++;
     if (!c || job->spec.estimate_s <= 0)
         return;
     double share = 1.0 / (job->spec.kind == RP_GANG ? 1 : job->spec.n_tasks);
@@ -563,10 +567,17 @@
     c->weight = c->weight + share > 20 ? 20 : c->weight + share;
 }
 
-double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job) {
+static double class_expects_s(const struct rp_jobs *t, const struct rp_job *job) {
     for (size_t i = 0; i < t->n_classes; i++)
         if (strcmp(t->classes[i].name, job->spec.class_name) == 0)
-            return job->spec.estimate_s * (t->classes[i].ratio * t->classes[i].weight + 2.0) /
-                   (t->classes[i].weight + 2.0);
+            return job->spec.estimate_s *
+                   (t->classes[i].ratio * t->classes[i].weight + 2.0) / (t->classes[i].weight + 2.0);
     return job->spec.estimate_s;
 }
+
+double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job) {
+    double s = class_expects_s(t, job);
+    if (job->n_runs > 0)
+        s = (s + job->run_sum_s * 2) / (1 + job->n_runs * 2.0);
+    return s > job->run_floor_s ? s : job->run_floor_s;
+}
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -38,6 +38,11 @@
     char error_on[RP_JOB_ERRORS_KEPT][RP_TEXT_MAX];
     unsigned n_error_on;
     struct timespec held_until;
+    /* A job's tasks run about equally long, whatever its owner guessed. */
+    double run_sum_s;
+    unsigned n_runs;
+    double run_floor_s; /* some task has run this long */
+    bool interrupted;   /* later run times are of parts of tasks */
     struct rp_job *hash_next;
     struct rp_job *prev, *next; /* all jobs in the table, in order of acceptance */
 };
@@ -92,7 +97,7 @@
 /* A worker has reported the task done (of a gang: any task). */
 void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task);
 void rp_jobs_release(struct rp_jobs *t, struct rp_job *job);
-void rp_jobs_observe(struct rp_jobs *t, const struct rp_job *job, double run_s);
+void rp_jobs_observe(struct rp_jobs *t, struct rp_job *job, double run_s);
 /* The expected run time of one of the job's tasks. */
 double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job);
 
--- a/src/round.c
+++ b/src/round.c
@@ -7,6 +7,9 @@
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
+#define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
+#define MOVE_S 10 /* stopping a task here and starting it there */
+#define OVERRUN 0.3 /* expected rest of a task, as a share of what it has run */
 #define SOON_S 8     /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -111,8 +114,9 @@
         double fetch = has || rate <= 0 ? 0 : job->spec.image_gb / rate;
         return run + fmax(0.5, fetch - rp_ts_since(now, place->since));
     }
-    double left = run - rp_ts_since(now, place->running);
-    return left > 0.1 * run ? left : 0.1 * run + 1;
+    /* Work that has outrun its estimate goes on for a while yet: run times have long tails. */
+    double ran = rp_ts_since(now, place->running);
+    return fmax(run - ran, OVERRUN * ran + 1);
 }
 
 static void add_resources(struct rp_resources *a, const struct rp_resources *b) {
@@ -213,7 +217,7 @@
         return false;
     if (m->state == RP_MACHINE_BOOTING)
         return rp_ts_since(now, m->rented) < catalog(r)->types[m->type].boot_s * OVERDUE;
-    return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed;
+    return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed && !m->emptied;
 }
 
 static void build_machines(struct rp_round *r, struct input *x, struct timespec now) {
@@ -558,6 +562,95 @@
     }
 }
 
+/* ---- moving the last work of a machine elsewhere ---- */
+
+/* A task that keeps its progress when stopped, and whose start counts already. */
+static bool movable(const struct rp_place *place, struct timespec now) {
+    const struct rp_job_spec *spec = &place->job->spec;
+    return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
+           spec->checkpoint_s > 0 && (spec->kind != RP_GANG || spec->n_tasks == 1) &&
+           rp_ts_since(now, place->running) > START_COUNTS_S;
+}
+
+/* Takes the room for all tasks of `m` on other machines; returns how much longer these have to be
+ * kept for them, in money, or a negative number when there is no room. */
+static double move_price(const struct rp_round *r, const struct rp_machine *m,
+                         struct timespec now) {
+    double price = 0;
+    struct rp_resources *room = calloc(r->picture->n_machines, sizeof *room);
+    size_t n = 0;
+    if (!room)
+        return -1;
+    for (const struct rp_machine *o = r->picture->first; o; o = o->next)
+        room[n++] = rp_machine_free(r->picture, o);
+    for (size_t i = 0; i < m->n_places && price >= 0; i++) {
+        const struct rp_place *place = &m->places[i];
+        double left = rp_place_left_s(r, m, place, now) + MOVE_S + place->job->spec.save_s;
+        double best = -1;
+        size_t best_at = 0, at = 0;
+        for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
+            if (o == m || !rp_machine_usable(o) || reserved_for(r, o) || o->n_places == 0 ||
+                !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
+                !room_fits(&place->job->spec.each, &room[at]) ||
+                !rp_machine_has_image(o, place->job->spec.image))
+                continue;
+            double busy = 0;
+            for (size_t k = 0; k < o->n_places; k++)
+                busy = fmax(busy, rp_place_left_s(r, o, &o->places[k], now));
+            double more = fmax(0, left - busy) * rp_fleet_price(catalog(r), o->type, o->spot);
+            if (best < 0 || more < best) {
+                best = more;
+                best_at = at;
+            }
+        }
+        if (best < 0) {
+            price = -1;
+        } else {
+            sub_resources(&room[best_at], &place->job->spec.each);
+            price = fmax(price, best);
+        }
+    }
+    free(room);
+    return price;
+}
+
+static bool type_wanted(const struct input *x, int type) {
+    for (size_t g = 0; g < x->in.n_groups; g++)
+        if (x->groups[g].types >> type & 1)
+            return true;
+    return false;
+}
+
+/* At the end of a load the last long tasks sit on many machines, each kept for a task or two.
+ * Where they fit on machines that are kept anyway, and nothing waits for the room, they are
+ * stopped with their progress saved, and the machine goes back. */
+static void empty_machines(struct rp_round *r, const struct input *x, struct timespec now) {
+    struct rp_machine *best = NULL;
+    double best_saving = 0;
+    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+        if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) || *m->reserved)
+            continue;
+        double price = rp_fleet_price(catalog(r), m->type, m->spot), busy = 0;
+        bool all = true;
+        for (size_t i = 0; i < m->n_places && all; i++) {
+            all = movable(&m->places[i], now);
+            busy = fmax(busy, rp_place_left_s(r, m, &m->places[i], now));
+        }
+        double more = all && busy > 2 * MOVE_S ? move_price(r, m, now) : -1;
+        double saving = price * (busy - MOVE_S) - more;
+        if (more >= 0 && saving > price * MOVE_S && saving > best_saving) {
+            best = m;
+            best_saving = saving;
+        }
+    }
+    if (!best)
+        return;
+    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", best->name, best->n_places);
+    best->emptied = true;
+    for (size_t i = 0; i < best->n_places; i++)
+        rp_place_stop(&best->places[i], best->places[i].job->spec.save_s * 1.2 + 1);
+}
+
 static double main_of(const struct rp_resources *c) {
     return c->gpus > 0 ? c->gpus : c->cpus;
 }
@@ -613,6 +706,7 @@
     if (rp_picture_settled(r->picture)) {
         apply_rentals(r, &x, &plan);
         preempt(r, &x, &plan, now);
+        empty_machines(r, &x, now);
     }
     apply_returns(r, &x, &plan, now);
 out:
--- a/src/workers.c
+++ b/src/workers.c
@@ -151,6 +151,9 @@
     if (t->state != RP_TASK_FETCHING && place->task_state == RP_TASK_FETCHING)
         rp_machine_note_image(w->picture, m, job->spec.image, job->spec.image_gb);
     place->task_state = t->state;
+    double ran = place->running.tv_sec ? rp_ts_since(rp_loop_now(w->loop), place->running) : 0;
+    if (ran > job->run_floor_s)
+        job->run_floor_s = ran;
     if (job->state != RP_JOB_OPEN || rp_job_task_done(job, t->task))
         rp_place_stop(place, 0);
 }
@@ -248,6 +251,7 @@
             if (saving)
                 continue;
             place->stop_sent = now;
+            place->job->interrupted = true;
             command(b, RP_OP_STOP, job, place->task, place->attempt, place->grace_s);
         }
     }
