--- a/src/round.c
+++ b/src/round.c
@@ -8,10 +8,10 @@
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
 #define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
-#define MOVE_S 10 /* stopping a task here and starting it there */
-#define OVERRUN 0.3 /* expected rest of a task, as a share of what it has run */
-#define SOON_S 8     /* room that comes by itself this soon is waited for */
-#define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
+#define MOVE_S 10         /* stopping a task here and starting it there */
+#define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
+#define SOON_S 8          /* room that comes by itself this soon is waited for */
+#define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
@@ -628,7 +628,8 @@
     struct rp_machine *best = NULL;
     double best_saving = 0;
     for (struct rp_machine *m = r->picture->first; m; m = m->next) {
-        if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) || *m->reserved)
+        if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) ||
+            reserved_for(r, m))
             continue;
         double price = rp_fleet_price(catalog(r), m->type, m->spot), busy = 0;
         bool all = true;
