--- a/src/fleet.c
+++ b/src/fleet.c
@@ -586,8 +586,8 @@
             rp_machine_enter(f->picture, m, RP_MACHINE_LOST);
         else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
             rp_fleet_return(f, m, "taken back");
-        else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->emptied) && m->n_places == 0 &&
-                 m->n_foreign == 0)
+        else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->emptied) &&
+                 m->n_places == 0 && m->n_foreign == 0)
             rp_fleet_return(f, m,
                             m->faulty    ? "faulty"
                             : m->noticed ? "taken back soon"
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -570,8 +570,8 @@
 static double class_expects_s(const struct rp_jobs *t, const struct rp_job *job) {
     for (size_t i = 0; i < t->n_classes; i++)
         if (strcmp(t->classes[i].name, job->spec.class_name) == 0)
-            return job->spec.estimate_s *
-                   (t->classes[i].ratio * t->classes[i].weight + 2.0) / (t->classes[i].weight + 2.0);
+            return job->spec.estimate_s * (t->classes[i].ratio * t->classes[i].weight + 2.0) /
+                   (t->classes[i].weight + 2.0);
     return job->spec.estimate_s;
 }
 
--- a/src/picture.h
+++ b/src/picture.h
@@ -80,7 +80,7 @@
     size_t n_images;
     unsigned errors_row; /* errors since the last task that ended well */
     bool faulty;
-    bool emptied; /* its work moves elsewhere, then it goes back */
+    bool emptied;         /* its work moves elsewhere, then it goes back */
     struct timespec told; /* when a direct command last went out */
     bool telling;
     char reserved[RP_ID_MAX]; /* room is being made here for this job, "" for none */
--- a/src/plan.c
+++ b/src/plan.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define EPS 1e-9
+#define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 0.5 /* of a fetch's time that room with the image is waited for */
 #define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
@@ -57,8 +58,20 @@
     size_t *group_order, *machine_order;
     double *key;
     double *cpus_left, *gpus_left;
+    double queued_s[RP_TYPES_MAX]; /* work given to a type's machines, and left to them */
 };
 
+double rp_plan_part(const struct rp_resources *need, const struct rp_resources *capacity) {
+    double part = 0;
+    if (need->cpus > 0 && capacity->cpus > 0)
+        part = need->cpus / capacity->cpus;
+    if (need->gpus > 0 && capacity->gpus > 0)
+        part = fmax(part, need->gpus / capacity->gpus);
+    if (need->memory_gb > 0 && capacity->memory_gb > 0)
+        part = fmax(part, need->memory_gb / capacity->memory_gb);
+    return part;
+}
+
 static uint32_t fit_one(double room, double need, uint32_t most) {
     if (need <= 0)
         return most;
@@ -244,6 +257,17 @@
                                     : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].zone;
 }
 
+static int slot_type(const struct run *r, size_t slot) {
+    return slot < r->in->n_machines ? r->in->machines[slot].type
+                                    : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].type;
+}
+
+static const struct rp_resources *slot_capacity(const struct run *r, size_t slot) {
+    return slot < r->in->n_machines
+               ? &r->in->machines[slot].capacity
+               : &r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].capacity;
+}
+
 static void put(struct run *r, struct placing *pl, size_t at, uint32_t count, bool now,
                 double end_s) {
     struct slot *slot = &r->slots[at];
@@ -255,6 +279,8 @@
         take(&slot->room, &pl->g->each, count);
     slot->end_s = fmax(slot->end_s, end_s);
     slot->used = true;
+    int type = slot_type(r, at);
+    r->queued_s[type] += count * pl->g->run_s * rp_plan_part(&pl->g->each, slot_capacity(r, at));
     pl->left -= count;
     pl->zone_used[zone] += count;
     if (pl->g->one_zone)
@@ -421,10 +447,46 @@
     memcpy(pl->zone_used, pl->g->zone_used, sizeof pl->zone_used);
 }
 
+/* Whether the machines at hand get to the rest of the group while its job has time to spare: then
+ * it waits for them, and nothing is rented. */
+static bool can_wait(struct run *r, struct placing *pl) {
+    const struct rp_plan_group *g = pl->g;
+    double machines = 0, work = 0, part = 0;
+    int types = 0;
+    if (g->slack_s >= RP_LATE_S || WAIT_SHARE <= 0)
+        return false;
+    for (size_t i = 0; i < r->in->n_machines + r->plan->n_fresh; i++) {
+        int type = slot_type(r, i);
+        if (!(g->types >> type & 1) || !(g->zones >> slot_zone(r, i) & 1))
+            continue;
+        machines++;
+        part = rp_plan_part(&g->each, slot_capacity(r, i));
+        if (i < r->in->n_machines)
+            work += r->in->machines[i].work_s +
+                    (r->in->machines[i].room.cpus > 0 || r->in->machines[i].n_ends > 0
+                         ? 0
+                         : r->in->machines[i].wait_s);
+        if (!(types >> type & 1))
+            work += r->queued_s[type];
+        types |= 1 << type;
+    }
+    double own = pl->left * part * g->run_s;
+    if (machines == 0 || (work + own) / machines > WAIT_SHARE * g->slack_s)
+        return false;
+    for (int t = 0; t < RP_TYPES_MAX; t++)
+        if (types >> t & 1) {
+            r->queued_s[t] += own;
+            break;
+        }
+    return true;
+}
+
 static void place_everywhere(struct run *r, struct placing *pl) {
     try_machines(r, pl, false);
     try_machines(r, pl, true);
     try_fresh(r, pl);
+    if (pl->left > 0 && can_wait(r, pl))
+        return;
     while (pl->left > 0 && !r->plan->failed) {
         int kind = best_kind(r, pl);
         uint32_t before = pl->left;
--- a/src/plan.h
+++ b/src/plan.h
@@ -63,6 +63,7 @@
     struct rp_resources later; /* by the time when another machine of its type would be up */
     double wait_s;             /* until `later` holds */
     double age_s;              /* since its rental */
+    double work_s;             /* its tasks' remaining time, weighed by their part of it */
     double busy_s;             /* until its last task's estimated end */
     double first_arrival_s, last_arrival_s, mean_arrival_s; /* ages of its tasks */
 };
@@ -129,6 +130,8 @@
  * of the winner in `hs`. */
 size_t rp_plan_best(const struct rp_plan_input *in, const struct rp_heuristic *hs, size_t n,
                     struct rp_plan *out);
+/* The part of the machine that a task takes, by the resource of which it takes most. */
+double rp_plan_part(const struct rp_resources *need, const struct rp_resources *capacity);
 bool rp_plan_better(const struct rp_plan *a, const struct rp_plan *b);
 /* Cost of a machine by formula (1): price times the units from its start to the end of its work. */
 double rp_plan_cost(double price, double age_s, double end_s, double unit_s);
--- a/src/round.c
+++ b/src/round.c
@@ -148,6 +148,7 @@
         out->first_arrival_s = fmax(out->first_arrival_s, age);
         out->last_arrival_s = sum == 0 ? age : fmin(out->last_arrival_s, age);
         sum += age;
+        out->work_s += left * rp_plan_part(&place->job->spec.each, &out->capacity);
         add_end(ends, &out->n_ends, left, &place->job->spec.each);
         if (left <= out->wait_s)
             add_resources(&out->later, &place->job->spec.each);
