--- a/src/round.c
+++ b/src/round.c
@@ -569,7 +569,7 @@
 static bool movable(const struct rp_place *place, struct timespec now) {
     const struct rp_job_spec *spec = &place->job->spec;
     return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
-           spec->checkpoint_s > 0 && (spec->kind != RP_GANG || spec->n_tasks == 1) &&
+           spec->checkpoint_s > 0 && spec->kind == RP_ARRAY &&
            rp_ts_since(now, place->running) > START_COUNTS_S;
 }
 
@@ -628,6 +628,10 @@
 static void empty_machines(struct rp_round *r, const struct input *x, struct timespec now) {
     struct rp_machine *best = NULL;
     double best_saving = 0;
+    /* One after the other: the room found for a machine's tasks must not be found twice. */
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        if (m->emptied)
+            return;
     for (struct rp_machine *m = r->picture->first; m; m = m->next) {
         if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) ||
             reserved_for(r, m))
