Jobs late by more than a minute come to the front again

Cause: a gang that had missed its aims waited behind every job that had not, for as long as such came.

--- a/src/round.c
+++ b/src/round.c
@@ -10,6 +10,7 @@
 #define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
+#define STARVED_S 60
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -301,7 +302,12 @@
     }
     if (best < NO_LIMIT)
         return best;
-    return latest > 0 ? RP_LATE_S + g->age_s - latest : NO_LIMIT;
+    if (latest <= 0)
+        return NO_LIMIT;
+    /* Late by much: it has waited long enough for those that can still be in time. */
+    if (g->age_s - latest > STARVED_S)
+        return 0;
+    return RP_LATE_S + g->age_s - latest;
 }
 
 static void build_group(const struct rp_round *r, struct rp_job *job, uint32_t n,
