A new leader waits only for machines that may hold a job's tasks

Rental records now say which machines are up, starts wait for that, jobs younger than the token wait for nobody, and record writes carry the version they replace, so a late copy can't take a name away.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,6 +10,7 @@
 #define TICK_S 0.5
 #define LIST_PAGE 500
 #define DELETE_MAX 100
+#define NAMES_MAX 64 /* machines of a rental: at most 50 are asked for at once */
 #define NEWS_MAX_S 9.0
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 8.0
@@ -110,6 +111,7 @@
     if (!r)
         abort();
     snprintf(r->name, sizeof r->name, "%s", name);
+    r->version_known = true;
     r->next = f->rentals;
     f->rentals = r;
     return r;
@@ -149,29 +151,51 @@
     return n;
 }
 
+/* What a record says that has been written: these machines are up. */
+static void note_recorded(struct rp_fleet *f, const struct rp_rental *rental,
+                          const struct request *r) {
+    for (size_t i = 0; i < r->n; i++) {
+        struct rp_machine *m = *r->names[i] ? rp_machine_find(f->picture, r->names[i]) : NULL;
+        if (m && m->rental == rental)
+            m->up_recorded = true;
+    }
+}
+
+void rp_fleet_came_up(struct rp_fleet *f, struct rp_machine *m) {
+    if (m->up_recorded || !m->rental || m->rental->changed)
+        return;
+    m->rental->changed = true;
+    rental_step(f, m->rental);
+}
+
 static void rental_written(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_fleet *f = r->f;
     struct rp_rental *rental = request_current(r) ? rental_find(f, r->rental) : NULL;
     enum rp_rental_state wrote = r->wrote;
-    request_free(r);
-    if (!rental)
+    if (!rental) {
+        request_free(r);
         return;
+    }
+    if (result->outcome == RP_STATE_OK)
+        note_recorded(f, rental, r);
+    request_free(r);
     rental->busy = false;
     if (result->outcome == RP_STATE_CONFLICT && rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
         rp_election_doubt(f->election);
         rental_later(f, rental, 1);
         return;
     }
-    /* The intent is written on condition that there is none, so that a copy of the write which
-     * arrives late can't wipe out the names: a conflict means that an earlier try went through. */
-    bool ok = result->outcome == RP_STATE_OK ||
-              (result->outcome == RP_STATE_CONFLICT && wrote == RP_RENTAL_WRITING);
-    if (!ok) {
+    if (result->outcome != RP_STATE_OK) {
+        /* Each write carries the version that it replaces, so that a copy which arrives late can't
+         * take names away again. After a lost answer, or a conflict with a write whose answer was
+         * lost, the version has to be read. */
         rental->changed = true;
-        rental_later(f, rental, 0.3);
+        rental->version_known = false;
+        rental_later(f, rental, 0.2);
         return;
     }
+    rental->version = rp_wire_revision(result->body);
     if (wrote == RP_RENTAL_ENDED) {
         rental_free(f, rental);
         return;
@@ -182,26 +206,65 @@
         rental_enter(f, rental, RP_RENTAL_ASKING);
     else if (wrote == RP_RENTAL_RECORDING && rental->state == wrote)
         rental_enter(f, rental, RP_RENTAL_LIVE);
+    else if (wrote == RP_RENTAL_LIVE && f->on_changed)
+        f->on_changed(f->arg);
+    rental_step(f, rental);
+}
+
+static void rental_read(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_fleet *f = r->f;
+    struct rp_rental *rental = request_current(r) ? rental_find(f, r->rental) : NULL;
+    struct rp_item item;
+    request_free(r);
+    if (!rental)
+        return;
+    rental->busy = false;
+    if (result->outcome == RP_STATE_MISSING) {
+        rental->version = 0;
+        rental->version_known = true;
+    } else if (result->outcome == RP_STATE_OK && rp_wire_item(result->body, &item)) {
+        rental->version = item.version;
+        rental->version_known = true;
+    } else {
+        rental_later(f, rental, 0.3);
+        return;
+    }
     rental_step(f, rental);
 }
 
 static void rental_write(struct rp_fleet *f, struct rp_rental *rental) {
-    const char *names[64];
+    struct request *r = request_new(f, rental->name);
     char key[RP_KEY_MAX];
-    json_t *txn = rp_wire_txn();
     rp_key(key, RP_KEY_RENTAL, rental->name);
+    rental->busy = true;
+    if (!rental->version_known) {
+        rp_state_get(f->state, RP_SHARE_LEADER, key, rental_read, r);
+        return;
+    }
+    json_t *txn = rp_wire_txn();
     rp_election_guard(f->election, txn);
-    if (rental->state == RP_RENTAL_WRITING)
-        rp_wire_txn_if(txn, key, 0);
+    rp_wire_txn_if(txn, key, rental->version);
     if (rental->state == RP_RENTAL_ENDED) {
         rp_wire_txn_delete(txn, key);
     } else {
-        size_t n = rental_names(f, rental, names, 64);
-        rp_wire_txn_put(txn, key, rp_record_rental(&rental->record, names, n), 0);
+        const char *names[NAMES_MAX];
+        bool up[NAMES_MAX];
+        size_t n = 0;
+        r->names = calloc(NAMES_MAX, sizeof *r->names);
+        if (!r->names)
+            abort();
+        for (struct rp_machine *m = f->picture->first; m && n < NAMES_MAX; m = m->next)
+            if (m->rental == rental) {
+                names[n] = m->name;
+                up[n] = m->up_recorded || m->session > 0;
+                strcpy(r->names[n], up[n] ? m->name : "");
+                n++;
+            }
+        r->n = n;
+        rp_wire_txn_put(txn, key, rp_record_rental(&rental->record, names, up, n), 0);
     }
-    struct request *r = request_new(f, rental->name);
     r->wrote = rental->state;
-    rental->busy = true;
     rental->changed = false;
     rp_state_txn(f->state, RP_SHARE_LEADER, txn, rental_written, r);
 }
@@ -487,10 +550,11 @@
 static void list_ended(struct rp_fleet *f) {
     struct timespec now = rp_loop_now(f->loop);
     for (struct rp_machine *m = f->picture->first; m; m = m->next) {
-        /* A machine once listed stays listed until it is gone, but lists come out of order: two
-         * in a row must lack it, and the deletion's answer makes it certain. */
-        bool missing = m->listed && ++m->list_missing > 2 &&
-                       rp_ts_since(now, m->rented) > 4 * f->settings->list_lag_s + 5;
+        /* A machine that has been listed stays listed until it is gone, and an old one has been,
+         * but lists come out of order: two in a row must lack it, and the deletion's answer makes
+         * it certain. */
+        bool missing =
+            ++m->list_missing > 2 && rp_ts_since(now, m->rented) > 4 * f->settings->list_lag_s + 5;
         if (m->listed_failed)
             rp_fleet_return(f, m, "failed by the cloud's list");
         else if (missing && (m->state == RP_MACHINE_BOOTING || silent(f, m)))
@@ -637,6 +701,8 @@
         return;
     }
     rental->stored = true;
+    rental->version = item->version;
+    rental->version_known = true;
     if (!rental->record.answered) {
         rental_enter(f, rental, RP_RENTAL_ASKING);
         return;
@@ -647,7 +713,11 @@
         const char *name = rp_record_rental_name(item->value, i);
         if (!name || rp_machine_find(f->picture, name))
             continue;
-        struct rp_machine *m = rp_machine_add(f->picture, name, RP_MACHINE_UNKNOWN);
+        /* No leader starts anything on a machine before its record says that it is up. */
+        bool up = rp_record_rental_up(item->value, name);
+        struct rp_machine *m =
+            rp_machine_add(f->picture, name, up ? RP_MACHINE_UNKNOWN : RP_MACHINE_BOOTING);
+        m->up_recorded = up;
         m->rental = rental;
         rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
         m->rented = rp_ts_sub(now, rp_ts(age > 0 ? age : 0));
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -17,9 +17,11 @@
     char name[RP_TEXT_MAX];
     enum rp_rental_state state;
     struct rp_rental_record record;
-    bool stored;  /* the record exists */
-    bool busy;    /* a request about it is under way */
-    bool changed; /* the names differ from the record */
+    bool stored;      /* the record exists */
+    bool busy;        /* a request about it is under way */
+    bool changed;     /* the names differ from the record */
+    uint64_t version; /* of the record, 0: there is none */
+    bool version_known;
     struct timespec retry;
     struct rp_rental *next;
 };
@@ -72,6 +74,9 @@
 bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot);
 /* Rentals asked for whose machines aren't known yet. */
 unsigned rp_fleet_pending(const struct rp_fleet *f, int type, int zone, bool spot);
+/* The machine has reported: recorded before anything is started on it, so that the next leader
+ * knows which machines can't hold tasks. */
+void rp_fleet_came_up(struct rp_fleet *f, struct rp_machine *m);
 void rp_fleet_adopt(struct rp_fleet *f, struct rp_machine *m);
 bool rp_fleet_gone(const struct rp_fleet *f, const char *machine);
 void rp_fleet_return(struct rp_fleet *f, struct rp_machine *m, const char *why);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -121,7 +121,7 @@
     }
     size_t bytes = (job->spec.n_tasks + 7) / 8;
     clock_gettime(CLOCK_REALTIME, &wall);
-    job->version = version;
+    job->version = job->created = version;
     job->known = rp_loop_now(t->loop);
     job->age_at_known_s = t->loop->is_virtual ? 0 : rp_ts_since(wall, job->accepted);
     if (job->age_at_known_s < 0)
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -20,6 +20,7 @@
     struct rp_job_spec spec;
     enum rp_job_state state;
     uint64_t version;
+    uint64_t created;         /* the revision at which it was accepted */
     struct timespec accepted; /* time of day */
     struct timespec known;    /* steady: when this leader first knew it */
     double age_at_known_s;
--- a/src/picture.c
+++ b/src/picture.c
@@ -31,6 +31,7 @@
     drop_all(p);
     for (size_t i = 0; i < p->settings->n_teams; i++)
         p->team_cpus[i] = p->team_gpus[i] = 0;
+    p->token = token;
     p->attempt_base = token << 32;
     p->attempt_next = 0;
 }
@@ -109,11 +110,33 @@
     return p->attempt_base + ++p->attempt_next;
 }
 
+/* The machine may hold tasks of an earlier leader that it hasn't told us of yet. */
+static bool unsettled(const struct rp_picture *p, const struct rp_machine *m) {
+    return m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
+                                              !rp_ts_reached(rp_loop_now(p->loop), m->held_until));
+}
+
 bool rp_picture_settled(const struct rp_picture *p) {
     for (const struct rp_machine *m = p->first; m; m = m->next)
-        if (m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
-                                               !rp_ts_reached(rp_loop_now(p->loop), m->held_until)))
+        if (unsettled(p, m))
+            return false;
+    return true;
+}
+
+bool rp_picture_job_settled(const struct rp_picture *p, const struct rp_job *job) {
+    const struct rp_team *team = job->team >= 0 ? &p->settings->teams[job->team] : NULL;
+    bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
+    /* A job whose record is younger than our token was accepted after the last leader's lease had
+     * ended: nobody but us can have started any of it. */
+    bool young = job->created > p->token;
+    for (const struct rp_machine *m = p->first; m; m = m->next) {
+        if (!unsettled(p, m))
+            continue;
+        bool unfit = m->type >= 0 && m->zone >= 0 &&
+                     !rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot);
+        if (limited || !(young || unfit))
             return false;
+    }
     return true;
 }
 
@@ -137,8 +160,8 @@
 }
 
 bool rp_machine_usable(const struct rp_machine *m) {
-    return m->state == RP_MACHINE_UP && m->recorded && m->token_seen && !m->noticed && !m->faulty &&
-           m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
+    return m->state == RP_MACHINE_UP && m->recorded && m->up_recorded && m->token_seen &&
+           !m->noticed && !m->faulty && m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
 }
 
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
@@ -199,7 +222,7 @@
     const struct rp_resources *each = &job->spec.each;
     struct rp_resources room = rp_machine_free(p, m);
     return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && job->where[task] == 0 &&
-           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_settled(p) &&
+           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_job_settled(p, job) &&
            rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
            each->cpus <= room.cpus + 1e-9 && each->gpus <= room.gpus + 1e-9 &&
            each->memory_gb <= room.memory_gb + 1e-9 && rp_picture_quota_room(p, job) >= 1;
--- a/src/picture.h
+++ b/src/picture.h
@@ -63,7 +63,8 @@
     int type; /* place in the catalog; -1: a type that it doesn't have */
     int zone; /* place in the catalog's zones; -1: unknown */
     bool spot;
-    bool recorded; /* its name is durable: starts may go to it */
+    bool recorded;    /* its name is durable */
+    bool up_recorded; /* and that it is up: only then may starts go to it */
     struct rp_rental *rental;
     uint64_t session, seq;
     bool token_seen; /* its newest report shows our token */
@@ -98,6 +99,7 @@
     struct rp_machine *first, *last;
     size_t n_machines;
     double *team_cpus, *team_gpus; /* what each team's tasks may use now */
+    uint64_t token;
     uint64_t attempt_base, attempt_next;
 };
 
@@ -121,6 +123,8 @@
 uint64_t rp_picture_attempt(struct rp_picture *p);
 /* No machine may hold tasks that this leader doesn't know of. */
 bool rp_picture_settled(const struct rp_picture *p);
+/* No machine may hold tasks of this job that this leader doesn't know of. */
+bool rp_picture_job_settled(const struct rp_picture *p, const struct rp_job *job);
 struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m);
 bool rp_machine_usable(const struct rp_machine *m);
 /* The types, zones and kinds that the job allows. */
--- a/src/records.c
+++ b/src/records.c
@@ -90,19 +90,33 @@
     return json_string_value(json_object_get(v, "node"));
 }
 
-json_t *rp_record_rental(const struct rp_rental_record *r, const char *const *names, size_t n) {
+json_t *rp_record_rental(const struct rp_rental_record *r, const char *const *names, const bool *up,
+                         size_t n) {
     json_t *v = json_pack("{s:s,s:s,s:b,s:i,s:f}", "type", r->type, "zone", r->zone, "spot",
                           r->spot, "count", (int)r->count, "asked", rp_ts_s(r->asked));
-    if (r->answered) {
-        json_t *list = json_array();
-        for (size_t i = 0; i < n; i++)
-            if (names[i])
-                json_array_append_new(list, json_string(names[i]));
-        json_object_set_new(v, "machines", list);
+    if (!r->answered)
+        return v;
+    json_t *list = json_array(), *ups = json_array();
+    for (size_t i = 0; i < n; i++) {
+        json_array_append_new(list, json_string(names[i]));
+        if (up[i])
+            json_array_append_new(ups, json_string(names[i]));
     }
+    json_object_set_new(v, "machines", list);
+    json_object_set_new(v, "up", ups);
     return v;
 }
 
+bool rp_record_rental_up(json_t *v, const char *name) {
+    json_t *ups = json_object_get(v, "up");
+    for (size_t i = 0; i < json_array_size(ups); i++) {
+        const char *up = json_string_value(json_array_get(ups, i));
+        if (up && strcmp(up, name) == 0)
+            return true;
+    }
+    return false;
+}
+
 bool rp_record_rental_read(json_t *v, struct rp_rental_record *out) {
     const char *type = json_string_value(json_object_get(v, "type"));
     const char *zone = json_string_value(json_object_get(v, "zone"));
--- a/src/records.h
+++ b/src/records.h
@@ -39,10 +39,12 @@
     struct timespec asked; /* time of day */
     bool answered;         /* the names are known */
 };
-/* `names` may hold NULLs, which are passed over. */
-json_t *rp_record_rental(const struct rp_rental_record *r, const char *const *names, size_t n);
+/* `up[i]`: the machine has reported, and may hold tasks. */
+json_t *rp_record_rental(const struct rp_rental_record *r, const char *const *names, const bool *up,
+                         size_t n);
 bool rp_record_rental_read(json_t *v, struct rp_rental_record *out);
 size_t rp_record_rental_names(json_t *v);
 const char *rp_record_rental_name(json_t *v, size_t i);
+bool rp_record_rental_up(json_t *v, const char *name);
 
 #endif
--- a/src/round.c
+++ b/src/round.c
@@ -11,8 +11,8 @@
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
 #define STARVED_S 60
-#define SOON_S 8          /* room that comes by itself this soon is waited for */
-#define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
+#define SOON_S 8     /* room that comes by itself this soon is waited for */
+#define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
--- a/src/workers.c
+++ b/src/workers.c
@@ -209,6 +209,7 @@
      * its way; until then the machine may hold more than it says. */
     if (m->state != RP_MACHINE_RETURNING && m->token_seen)
         rp_machine_enter(w->picture, m, RP_MACHINE_UP);
+    rp_fleet_came_up(w->fleet, m);
 }
 
 /* ---- commands ---- */
@@ -260,7 +261,7 @@
 static bool start_still_good(struct rp_workers *w, const struct rp_machine *m,
                              const struct rp_place *place) {
     return place->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
-           rp_picture_settled(w->picture) && rp_fleet_news_fresh(w->jobs);
+           rp_picture_job_settled(w->picture, place->job) && rp_fleet_news_fresh(w->jobs);
 }
 
 static void command_starts(struct rp_workers *w, struct batch *b, struct rp_machine *m) {
