--- a/src/api.c
+++ b/src/api.c
@@ -30,6 +30,7 @@
     char why[128];
     uint64_t version;
     unsigned tries;
+    struct timespec since;
 };
 
 static void op_next(struct op *op, enum op_state state);
@@ -39,6 +40,8 @@
     if (status == 400 || status == 422)
         rp_info("submission %s refused with %d: %s", op->id, status, op->why);
     op->node->n_answers[status / 100 < 6 ? status / 100 : 0]++;
+    rp_metrics_add(&op->node->metrics, op->kind == OP_SUBMIT ? RP_METRIC_SUBMIT : RP_METRIC_QUERY,
+                   rp_ts_since(rp_loop_now(op->node->loop), op->since));
     op->req->respond(op->req, status, body ? body : "{}", retry_after);
     free(body);
     rp_job_spec_free(&op->spec);
@@ -176,6 +179,7 @@
     op->node = n;
     op->req = req;
     op->kind = kind;
+    op->since = rp_loop_now(n->loop);
     return op;
 }
 
--- /dev/null
+++ b/src/metrics.c
@@ -0,0 +1,63 @@
+#include "metrics.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Ranges from 0.1 ms to 1000 s, ten for each power of ten. */
+#define FIRST_S 1e-4
+#define DECADES 7
+#define PER_DECADE 10
+#define BINS (DECADES * PER_DECADE)
+
+static const char *const names[RP_METRICS] = {"submit_s", "query_s", "round_s", "start_wait_s"};
+
+int rp_metrics_init(struct rp_metrics *m) {
+    double ranges[BINS + 1];
+    memset(m, 0, sizeof *m);
+    ranges[0] = 0;
+    for (int i = 1; i <= BINS; i++)
+        ranges[i] = FIRST_S * pow(10, (double)i / PER_DECADE);
+    for (int i = 0; i < RP_METRICS; i++) {
+        m->h[i] = gsl_histogram_alloc(BINS);
+        if (!m->h[i] || gsl_histogram_set_ranges(m->h[i], ranges, BINS + 1) != 0) {
+            rp_metrics_free(m);
+            return -1;
+        }
+    }
+    return 0;
+}
+
+void rp_metrics_free(struct rp_metrics *m) {
+    for (int i = 0; i < RP_METRICS; i++)
+        if (m->h[i])
+            gsl_histogram_free(m->h[i]);
+    memset(m, 0, sizeof *m);
+}
+
+void rp_metrics_add(struct rp_metrics *m, enum rp_metric metric, double seconds) {
+    double most = gsl_histogram_max(m->h[metric]) * (1 - 1e-9);
+    gsl_histogram_increment(m->h[metric], fmin(fmax(seconds, 0), most));
+}
+
+double rp_metrics_quantile(const struct rp_metrics *m, enum rp_metric metric, double share) {
+    const gsl_histogram *h = m->h[metric];
+    double total = gsl_histogram_sum(h), seen = 0, low, high = 0;
+    for (size_t i = 0; i < gsl_histogram_bins(h) && total > 0; i++) {
+        seen += gsl_histogram_get(h, i);
+        gsl_histogram_get_range(h, i, &low, &high);
+        if (seen >= share * total)
+            return high;
+    }
+    return high;
+}
+
+json_t *rp_metrics_json(const struct rp_metrics *m) {
+    json_t *v = json_object();
+    for (int i = 0; i < RP_METRICS; i++)
+        json_object_set_new(v, names[i],
+                            json_pack("{s:f,s:f,s:f,s:f}", "count", gsl_histogram_sum(m->h[i]),
+                                      "p50", rp_metrics_quantile(m, (enum rp_metric)i, 0.5), "p95",
+                                      rp_metrics_quantile(m, (enum rp_metric)i, 0.95), "p99",
+                                      rp_metrics_quantile(m, (enum rp_metric)i, 0.99)));
+    return v;
+}
--- a/src/node.c
+++ b/src/node.c
@@ -38,8 +38,11 @@
         return -1;
     rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->picture, &n->jobs, s,
                   &n->catalog);
-    rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s);
-    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s);
+    if (rp_metrics_init(&n->metrics) < 0)
+        return -1;
+    rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s,
+                    &n->metrics);
+    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s, &n->metrics);
     n->jobs.on_loaded = on_loaded;
     n->jobs.on_closed = on_closed;
     n->jobs.on_changed = on_room;
@@ -73,6 +76,7 @@
     rp_timer_cancel(n->loop, &n->room_timer);
     rp_state_client_close(&n->state);
     rp_cloud_client_close(&n->cloud);
+    rp_metrics_free(&n->metrics);
     free(n->summary);
 }
 
@@ -250,19 +254,56 @@
         status->word = RP_JOB_RUNNING;
 }
 
+static json_t *class_counts(const struct rp_node *n) {
+    json_t *classes = json_object();
+    for (const struct rp_job *job = n->jobs.first; job; job = job->next) {
+        json_t *c = json_object_get(classes, job->spec.class_name);
+        if (!c) {
+            c = json_pack("{s:i,s:i,s:i,s:i}", "jobs", 0, "waiting", 0, "placed", 0, "running", 0);
+            json_object_set_new(classes, job->spec.class_name, c);
+        }
+        const struct {
+            const char *name;
+            json_int_t more;
+        } adds[] = {{"jobs", 1},
+                    {"waiting", job->spec.n_tasks - job->n_done - job->n_counted},
+                    {"placed", job->n_counted},
+                    {"running", job->n_running}};
+        for (size_t i = 0; i < sizeof adds / sizeof adds[0]; i++) {
+            json_t *v = json_object_get(c, adds[i].name);
+            json_integer_set(v, json_integer_value(v) + adds[i].more);
+        }
+    }
+    return classes;
+}
+
+static json_t *machine_counts(const struct rp_node *n) {
+    static const char *const states[] = {"booting", "unknown", "up", "lost", "returning"};
+    int counts[5] = {0};
+    json_t *v = json_object();
+    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+        counts[m->state]++;
+    for (int i = 0; i < 5; i++)
+        json_object_set_new(v, states[i], json_integer(counts[i]));
+    return v;
+}
+
 static char *status_json(const struct rp_node *n) {
     static const char *const states[] = {"following", "recovering", "leading"};
     json_t *wins = json_object();
     for (size_t i = 0; i < n->settings->tuning.n_heuristics; i++)
         json_object_set_new(wins, n->settings->tuning.heuristics[i],
                             json_integer((json_int_t)n->round.wins[i]));
-    json_t *v = json_pack("{s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
-                          n->settings->node, "state", states[n->at], "leader", n->election.leader,
-                          "token", (json_int_t)n->election.token, "jobs",
-                          (json_int_t)n->jobs.n_jobs, "machines", (json_int_t)n->picture.n_machines,
-                          "rounds", (json_int_t)n->round.n_rounds, "starts",
-                          (json_int_t)n->workers.n_starts, "rented", (json_int_t)n->fleet.n_rented,
-                          "refused", (json_int_t)n->fleet.n_refused, "plan_winners", wins);
+    json_t *v =
+        json_pack("{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
+                  n->settings->node, "state", states[n->at], "leader", n->election.leader, "token",
+                  (json_int_t)n->election.token, "lease_proven",
+                  rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes", class_counts(n),
+                  "machines", machine_counts(n), "rounds", (json_int_t)n->round.n_rounds,
+                  "plan_winners", wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
+                  (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented,
+                  "refused", (json_int_t)n->fleet.n_refused, "returned",
+                  (json_int_t)n->fleet.n_returned, "latencies", rp_metrics_json(&n->metrics));
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
     return text;
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 #include "election.h"
 #include "fleet.h"
 #include "jobs.h"
+#include "metrics.h"
 #include "net.h"
 #include "picture.h"
 #include "round.h"
@@ -36,6 +37,7 @@
     struct rp_fleet fleet;
     struct rp_workers workers;
     struct rp_round round;
+    struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
     struct rp_timer room_timer;
     /* What the leader last told of running jobs, for display by other nodes. */
--- a/src/round.c
+++ b/src/round.c
@@ -20,8 +20,9 @@
 
 void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
                    struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                   const struct rp_settings *settings) {
+                   const struct rp_settings *settings, struct rp_metrics *metrics) {
     memset(r, 0, sizeof *r);
+    r->metrics = metrics;
     r->loop = loop;
     r->election = election;
     r->picture = picture;
@@ -721,6 +722,7 @@
         empty_machines(r, &x, now);
     }
     apply_returns(r, &x, &plan, now);
+    rp_metrics_add(r->metrics, RP_METRIC_ROUND, rp_ts_since(rp_loop_now(r->loop), now));
 out:
     rp_plan_free(&plan);
     input_free(&x);
--- a/src/workers.c
+++ b/src/workers.c
@@ -13,8 +13,9 @@
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                     const struct rp_settings *settings) {
+                     const struct rp_settings *settings, struct rp_metrics *metrics) {
     memset(w, 0, sizeof *w);
+    w->metrics = metrics;
     w->loop = loop;
     w->election = election;
     w->picture = picture;
@@ -279,6 +280,7 @@
         rp_place_enter(w->picture, m, place, RP_PLACE_SENT);
         place->sent_seq = m->seq;
         w->n_starts++;
+        rp_metrics_add(w->metrics, RP_METRIC_START, rp_job_age_s(place->job, rp_loop_now(w->loop)));
         rp_debug("start %s/%u attempt=%llu on %s", place->job->spec.id, place->task,
                  (unsigned long long)place->attempt, m->name);
     }
