A leader that hears of no worker gives the key up, and keeps the machines

Now it resigns after 2 s of most machines being silent, and returns none meanwhile; lost machines have 16 s to come back.

--- a/src/election.c
+++ b/src/election.c
@@ -112,8 +112,10 @@
     struct rp_item item;
     if (r->outcome == RP_STATE_MISSING) {
         e->leader[0] = '\0';
-        claim(e, 0);
-        return;
+        if (rp_ts_reached(rp_loop_now(e->loop), e->stand_back)) {
+            claim(e, 0);
+            return;
+        }
     }
     if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item)) {
         const char *node = rp_record_leader_read(item.value);
@@ -162,12 +164,13 @@
         rp_state_get(e->state, RP_SHARE_LEADERSHIP, RP_KEY_LEADER, doubted, e);
 }
 
-void rp_election_resign(struct rp_election *e) {
+void rp_election_resign(struct rp_election *e, double stand_back_s) {
     if (e->at != RP_HOLDING)
         return;
     rp_info("resigning");
+    e->stand_back = rp_ts_after(rp_loop_now(e->loop), stand_back_s);
     rp_state_lease_end(e->state, e->lease, dropped, NULL);
-    follow_again(e, 2 * e->check_s);
+    follow_again(e, e->check_s);
 }
 
 static void tick(void *arg) {
--- a/src/election.h
+++ b/src/election.h
@@ -23,6 +23,7 @@
     enum rp_election_state at;
     uint64_t token, lease, claim_over;
     struct timespec valid_until; /* on the steady clock, margins taken off */
+    struct timespec stand_back;  /* until then only the others may claim a free key */
     struct timespec asked;       /* when the request under way was sent */
     char leader[64];             /* who held the key when we last looked, "" for nobody */
     struct rp_timer timer;
@@ -44,7 +45,7 @@
 /* Somebody shows a token above ours, or a guarded write failed: look at the key now. */
 void rp_election_doubt(struct rp_election *e);
 
-/* Gives the key up. */
-void rp_election_resign(struct rp_election *e);
+/* Gives the key up, and leaves it to the others for a while. */
+void rp_election_resign(struct rp_election *e, double stand_back_s);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -13,7 +13,11 @@
 #define NAMES_MAX 64 /* machines of a rental: at most 50 are asked for at once */
 #define NEWS_MAX_S 9.0
 /* A machine that lost its lease through our absence comes back within this. */
-#define LOST_GRACE_S 8.0
+#define LOST_GRACE_S 16.0
+#define ISOLATED_SHARE 0.6 /* of the machines, silent at the same time */
+#define ISOLATED_S 2.0     /* for so long: this node is cut off rather than they */
+#define ISOLATED_PROVEN_S 10.0
+#define STAND_BACK_S 12.0
 
 struct request {
     struct rp_fleet *f;
@@ -640,7 +644,33 @@
 
 /* ---- what time does to machines ---- */
 
-static void watch_machine(struct rp_fleet *f, struct rp_machine *m, struct timespec now) {
+static bool is_zero(struct timespec t) {
+    return t.tv_sec == 0 && t.tv_nsec == 0;
+}
+
+/* A leader that the workers can't reach, though the state service can, renews its lease and does
+ * nothing for anybody. When most machines fall silent together while leadership was provable all
+ * along, it gives the key up: another node may be better placed. It also returns no machine then:
+ * they are hardly all gone. */
+static bool isolated(struct rp_fleet *f, struct timespec now) {
+    size_t known = 0, quiet = 0;
+    double limit = f->settings->report_s * 1.25 + 2.5;
+    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+        if (m->session == 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
+            continue;
+        known++;
+        quiet += rp_ts_since(now, m->last_report) > limit;
+    }
+    bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
+    if (!most || rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
+        f->isolated_since = (struct timespec){0};
+    else if (is_zero(f->isolated_since))
+        f->isolated_since = now;
+    return most;
+}
+
+static void watch_machine(struct rp_fleet *f, struct rp_machine *m, bool cut_off,
+                          struct timespec now) {
     double led = rp_ts_since(now, f->led_since);
     double boot = m->type >= 0 ? f->catalog->types[m->type].boot_s : 60;
     switch (m->state) {
@@ -658,7 +688,7 @@
                                          : "its work fits elsewhere");
         break;
     case RP_MACHINE_LOST:
-        if (rp_ts_since(now, m->held_until) > LOST_GRACE_S && led > LOST_GRACE_S)
+        if (!cut_off && rp_ts_since(now, m->held_until) > LOST_GRACE_S && led > LOST_GRACE_S)
             rp_fleet_return(f, m, "lost");
         break;
     case RP_MACHINE_BOOTING:
@@ -675,10 +705,20 @@
     struct rp_fleet *f = arg;
     struct timespec now = rp_loop_now(f->loop);
     rp_timer_set(f->loop, &f->timer, TICK_S);
-    if (!rp_election_valid(f->election, now))
+    if (!rp_election_valid(f->election, now)) {
+        f->proven_since = (struct timespec){0};
+        return;
+    }
+    if (is_zero(f->proven_since))
+        f->proven_since = now;
+    bool cut_off = isolated(f, now);
+    if (!is_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
+        rp_info("most machines are silent: another node may reach them");
+        rp_election_resign(f->election, STAND_BACK_S);
         return;
+    }
     for (struct rp_machine *m = f->picture->first; m; m = m->next)
-        watch_machine(f, m, now);
+        watch_machine(f, m, cut_off, now);
     delete_some(f);
     for (struct rp_rental *r = f->rentals, *next; r; r = next) {
         next = r->next;
@@ -768,6 +808,7 @@
 void rp_fleet_clear(struct rp_fleet *f) {
     f->generation++;
     f->active = f->listing = f->deleting = false;
+    f->proven_since = f->isolated_since = (struct timespec){0};
     f->n_refusals = 0;
     rp_timer_cancel(f->loop, &f->timer);
     for (struct rp_machine *m = f->picture->first; m; m = m->next)
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -529,7 +529,7 @@
     /* A leader whose lease is renewed but who hears of no cancellation keeps cancelled tasks
      * alive by its answers: somebody else has to lead. */
     if (rp_jobs_stale_s(t) > DEAF_S) {
-        rp_election_resign(t->election);
+        rp_election_resign(t->election, 5);
         return;
     }
     for (struct rp_job *job = t->first; job; job = next) {
