--- a/src/picture.h
+++ b/src/picture.h
@@ -84,7 +84,8 @@
     bool emptied;         /* its work moves elsewhere, then it goes back */
     struct timespec told; /* when a direct command last went out */
     bool telling;
-    char reserved[RP_ID_MAX]; /* room is being made here for this job, "" for none */
+    char reserved[RP_ID_MAX]; /* room is kept here for this job, "" for none */
+    struct timespec reserved_until;
     bool delete_sent;
     unsigned list_missing;
     bool listed, listed_failed;
--- a/src/plan.c
+++ b/src/plan.c
@@ -308,14 +308,13 @@
     put(r, pl, at, most, !later, end);
 }
 
-/* Until one task of the group fits on the machine, by its work's estimated ends. */
-static double fits_after(const struct rp_plan_machine *m, const struct rp_plan_group *g) {
+double rp_plan_fits_after(const struct rp_plan_machine *m, const struct rp_resources *each) {
     struct rp_resources room = m->room;
-    if (fits(&g->each, &room, 1))
+    if (fits(each, &room, 1))
         return 0;
     for (size_t i = 0; i < m->n_ends; i++) {
         take(&room, &m->ends[i].gives, -1);
-        if (fits(&g->each, &room, 1))
+        if (fits(each, &room, 1))
             return m->ends[i].s;
     }
     return INFINITY;
@@ -332,7 +331,7 @@
         size_t at = r->machine_order[i];
         const struct rp_plan_machine *m = &r->in->machines[at];
         if (g->has_image && g->has_image[at] &&
-            fits_after(m, g) < HOLDER_SHARE * fetch_s(g, m->fetch_gb_per_s, false))
+            rp_plan_fits_after(m, &g->each) < HOLDER_SHARE * fetch_s(g, m->fetch_gb_per_s, false))
             try_machine(r, pl, at, true);
     }
 }
@@ -532,7 +531,11 @@
     if (g->kind == RP_GANG && want < g->n)
         return; /* over the limit: the gang waits whole */
     pl.left = want;
-    if (g->kind == RP_GANG)
+    if (g->held) {
+        try_machines(r, &pl, false);
+        r->plan->n_wait += pl.left;
+        pl.left = 0;
+    } else if (g->kind == RP_GANG)
         place_gang(r, &pl);
     else
         place_everywhere(r, &pl);
--- a/src/plan.h
+++ b/src/plan.h
@@ -85,6 +85,7 @@
     int fixed_zone; /* the zone its placed tasks are in, -1: none yet */
     uint32_t spread_max;
     uint32_t zone_used[RP_ZONES_MAX];
+    bool held;             /* a machine is being kept for it: only room now is better */
     const bool *has_image; /* for each machine */
 };
 
@@ -132,6 +133,8 @@
                     struct rp_plan *out);
 /* The part of the machine that a task takes, by the resource of which it takes most. */
 double rp_plan_part(const struct rp_resources *need, const struct rp_resources *capacity);
+/* Until one task of this size fits on the machine, by its work's estimated ends. */
+double rp_plan_fits_after(const struct rp_plan_machine *m, const struct rp_resources *each);
 bool rp_plan_better(const struct rp_plan *a, const struct rp_plan *b);
 /* Cost of a machine by formula (1): price times the units from its start to the end of its work. */
 double rp_plan_cost(double price, double age_s, double end_s, double unit_s);
--- a/src/round.c
+++ b/src/round.c
@@ -11,8 +11,9 @@
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
 #define STARVED_S 60
-#define SOON_S 8     /* room that comes by itself this soon is waited for */
-#define BATCH_MIN 64 /* jobs in a round; with more waiting, half of them */
+#define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
+#define SOON_S 8          /* room that comes by itself this soon is waited for */
+#define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
@@ -163,10 +164,17 @@
            need->memory_gb <= room->memory_gb + 1e-9;
 }
 
-/* The job that room is being made for on this machine, while it is still waited for. */
+static void reserve(const struct rp_round *r, struct rp_machine *m, const struct rp_job *job,
+                    double for_s) {
+    strcpy(m->reserved, job->spec.id);
+    m->reserved_until = rp_ts_after(rp_loop_now(r->loop), for_s + RESERVE_SLACK_S);
+}
+
+/* The job that room is kept for on this machine, while it is still waited for. */
 static const struct rp_job *reserved_for(const struct rp_round *r, const struct rp_machine *m) {
     const struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
-    if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || !rp_machine_usable(m))
+    if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || !rp_machine_usable(m) ||
+        rp_ts_reached(rp_loop_now(r->loop), m->reserved_until))
         return NULL;
     struct rp_resources room = rp_machine_free(r->picture, m);
     return room_fits(&job->spec.each, &room) ? NULL : job;
@@ -332,6 +340,7 @@
                                 .fixed_zone = -1,
                                 .spread_max = (spec->n_tasks + 1) / 2};
     g->slack_s = slack(r, job, g);
+    g->held = has_reservation(r, job);
     for (size_t z = 0; z < c->n_zones; z++) {
         if (!*spec->zone || strcmp(spec->zone, c->zones[z]) == 0)
             g->zones |= 1u << z;
@@ -364,7 +373,7 @@
         for (struct rp_job *job = r->jobs->first; job && x->in.n_groups < most; job = job->next) {
             uint32_t n = startable(job);
             if (n == 0 || job->state != RP_JOB_OPEN || (int)job->spec.priority != priority ||
-                !rp_ts_reached(now, job->held_until) || has_reservation(r, job))
+                !rp_ts_reached(now, job->held_until))
                 continue;
             build_group(r, job, n, &x->groups[x->in.n_groups++], now);
         }
@@ -506,6 +515,7 @@
 static void stop_for(struct rp_round *r, struct rp_machine *m, const struct rp_job *job) {
     struct rp_resources room = rp_machine_free(r->picture, m);
     unsigned stopped = 0;
+    double longest = 0;
     for (size_t i = 0; i < m->n_places; i++)
         if (m->places[i].stop && may_stop(&m->places[i], job->spec.priority))
             add_resources(&room, &m->places[i].job->spec.each);
@@ -520,10 +530,12 @@
             continue;
         }
         const struct rp_job_spec *spec = &place->job->spec;
-        rp_place_stop(place, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
+        double grace = spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0;
+        rp_place_stop(place, grace);
+        longest = fmax(longest, grace);
         r->n_preempted++;
     }
-    strcpy(m->reserved, job->spec.id);
+    reserve(r, m, job, longest);
     if (stopped)
         rp_info("job %s gets room on %s: tasks stopped=%u", job->spec.id, m->name, stopped);
 }
@@ -554,7 +566,8 @@
     for (size_t g = 0; g < x->in.n_groups; g++) {
         const struct rp_job *job = x->groups[g].ref;
         bool now_placed = false, soon = false;
-        if (job->spec.priority < RP_HIGH || job->spec.kind != RP_GANG || job->spec.n_tasks != 1)
+        if (x->groups[g].held || job->spec.priority < RP_HIGH || job->spec.kind != RP_GANG ||
+            job->spec.n_tasks != 1)
             continue;
         for (size_t p = 0; p < plan->n_puts; p++) {
             const struct rp_plan_put *put = &plan->puts[p];
