A leader lease of 10 s, renewed every half second

Cause: in outages of the state service of 20 s workers' leases ran out shortly before its end, since the last renewal was up to 1.1 s old.

--- a/src/election.c
+++ b/src/election.c
@@ -11,6 +11,7 @@
 #define DRIFT 0.002
 #define MARGIN_S 0.15
 #define RETRY_S 0.25
+#define TOUCH_S 0.5 /* between renewals: what they are apart is lost when an outage begins */
 
 static void tick(void *arg);
 
@@ -76,7 +77,7 @@
         e->token = rp_wire_revision(r->body);
         e->valid_until = rp_election_trust(e->asked, e->ttl_s);
         enter(e, RP_HOLDING);
-        rp_timer_set(e->loop, &e->timer, e->ttl_s / 8);
+        rp_timer_set(e->loop, &e->timer, fmin(TOUCH_S, e->ttl_s / 8));
         return;
     }
     /* An unanswered claim may still hold: the next look shows our own name, and a holder of our
@@ -143,7 +144,7 @@
         /* While the lease lives, the key is attached to it and nobody else can have written it:
          * leadership goes on even if it could not be proven for a while. */
         e->valid_until = rp_election_trust(e->asked, e->ttl_s);
-        rp_timer_set(e->loop, &e->timer, e->ttl_s / 8);
+        rp_timer_set(e->loop, &e->timer, fmin(TOUCH_S, e->ttl_s / 8));
         return;
     }
     rp_timer_set(e->loop, &e->timer, RETRY_S);
--- a/src/settings.c
+++ b/src/settings.c
@@ -327,8 +327,8 @@
     /* Long, since a leader that can't renew must stop answering workers, and an outage of the
      * state service must not cost their leases; but never so long that a change of leader would
      * endanger the leases, or a cancellation's time. */
-    double most = fmin(0.65 * s->lease_s, 0.9 * (s->cancel_s - s->lease_s - LATE_COMMANDS_S));
-    t->leader_ttl_s = fmax(1, fmin(9, most));
+    double most = fmin(0.72 * s->lease_s, 0.9 * (s->cancel_s - s->lease_s - LATE_COMMANDS_S));
+    t->leader_ttl_s = fmax(1, fmin(10, most));
 }
 
 int rp_settings_check(const struct rp_settings *s, FILE *errors) {
