--- a/src/plan.c
+++ b/src/plan.c
@@ -7,7 +7,7 @@
 
 #define EPS 1e-9
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
-#define HOLDER_SHARE 0.5 /* of a fetch's time that room with the image is waited for */
+#define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
 #define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
