--- a/src/plan.c
+++ b/src/plan.c
@@ -120,7 +120,7 @@
     case RP_EDF:
         return g->slack_s;
     case RP_SRW:
-        return (g->slack_s >= RP_LATE_S ? RP_LATE_S : 0) + size * g->n * g->run_s;
+        return size * g->n * g->run_s;
     case RP_ESW:
         return g->slack_s + ESW_WEIGHT * g->n * g->run_s * fleet_share(&g->each, fleet);
     }
@@ -452,7 +452,7 @@
     const struct rp_plan_group *g = pl->g;
     double machines = 0, work = 0, part = 0;
     int types = 0;
-    if (g->slack_s >= RP_LATE_S || WAIT_SHARE <= 0)
+    if (g->slack_s >= RP_NO_AIM_S || WAIT_SHARE <= 0)
         return false;
     for (size_t i = 0; i < r->in->n_machines + r->plan->n_fresh; i++) {
         int type = slot_type(r, i);
--- a/src/plan.h
+++ b/src/plan.h
@@ -8,8 +8,8 @@
 /* A machine that is returned costs at least this long (PROTOCOL, price). */
 #define RP_MIN_CHARGE_S 60.0
 
-/* Slack of jobs that can meet no aim any more starts here. */
-#define RP_LATE_S 1e6
+/* Time to spare of jobs that no aim speaks of. */
+#define RP_NO_AIM_S 1e6
 
 enum rp_job_order { RP_FCFS, RP_RR, RP_LJF, RP_SJF, RP_LTJF, RP_STJF, RP_EDF, RP_SRW, RP_ESW };
 enum rp_machine_order {
--- a/src/round.c
+++ b/src/round.c
@@ -10,7 +10,7 @@
 #define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
-#define STARVED_S 60
+#define LATE_SLACK_S 100 /* time to spare given to a job that has just become late */
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
@@ -289,12 +289,11 @@
     return spec->each.gpus <= 0 && plain ? plain : types;
 }
 
-/* Time to spare until the first of the class's aims that the job can still meet; a job past all of
- * them comes after those that aren't, the least late first. */
+/* Time to spare until the first of the class's aims that the job can still meet. */
 static double slack(const struct rp_round *r, const struct rp_job *job,
                     const struct rp_plan_group *g) {
     const struct rp_settings *s = r->settings;
-    double best = NO_LIMIT, latest = 0;
+    double best = RP_NO_AIM_S, latest = 0;
     for (size_t i = 0; i < s->n_objectives; i++) {
         const struct rp_objective *aim = &s->objectives[i];
         if (strcmp(aim->class_name, job->spec.class_name) != 0)
@@ -309,14 +308,13 @@
         if (left > 0 && left < best)
             best = left;
     }
-    if (best < NO_LIMIT)
+    if (best < RP_NO_AIM_S)
         return best;
     if (latest <= 0)
-        return NO_LIMIT;
-    /* Late by much: it has waited long enough for those that can still be in time. */
-    if (g->age_s - latest > STARVED_S)
-        return 0;
-    return RP_LATE_S + g->age_s - latest;
+        return RP_NO_AIM_S;
+    /* A job that can be in time for nothing any more stands behind those that can, but with less
+     * and less patience: it is not to wait for as long as others keep coming. */
+    return fmax(0, LATE_SLACK_S - (g->age_s + g->run_s - latest));
 }
 
 static void build_group(const struct rp_round *r, struct rp_job *job, uint32_t n,
@@ -331,7 +329,7 @@
                                 .run_s = rp_jobs_expect_s(r->jobs, job),
                                 .image_gb = spec->image_gb,
                                 .age_s = rp_job_age_s(job, now),
-                                .slack_s = NO_LIMIT,
+                                .slack_s = RP_NO_AIM_S,
                                 .team = job->team,
                                 .types = allowed_types(r, spec),
                                 .spot = spec->spot,
