A node that alone is cut from the state service leaves the load balancer

Nodes whose state requests fail ask the others; if one is answered, /healthz says 503 until it is over. An answer that tells a user to come back closes the connection, so that the way back leads through the load balancer. News-driven rounds keep four times their own time apart. Tests: deaf_node_steps_aside, isolated_leader_gives_way.

--- a/src/http.c
+++ b/src/http.c
@@ -129,6 +129,9 @@
 static int conn_queue(struct rp_http_conn *c, int status, const char *body, int retry_after) {
     char retry[48] = "";
     size_t len = body ? strlen(body) : 0;
+    /* Who is told to come back is to come by the load balancer, which may know a better node. */
+    if (retry_after > 0)
+        c->parser.close = true;
     if (retry_after > 0)
         snprintf(retry, sizeof retry, "Retry-After: %d\r\n", retry_after);
     char *text;
--- a/src/node.c
+++ b/src/node.c
@@ -7,9 +7,13 @@
 #include "wire.h"
 
 #define SUMMARY_S 2.0
+#define ROUND_REST 4.0  /* times a round's own time until the next that news call for */
 #define ROUND_GAP_S 0.1 /* rounds that news call for keep this distance */
 #define PATH_SUMMARY "/peer/summary"
+#define PATH_HEALTH "/peer/health"
 #define PATH_STATUS "/status"
+#define HEALTH_S 0.5
+#define DEAF_S 1.0 /* without the state service, before the others are asked how they fare */
 
 static void on_elected(void *arg);
 static void on_lost(void *arg);
@@ -21,6 +25,7 @@
 static void retry_due(void *arg);
 static void catalog_due(void *arg);
 static void summary_due(void *arg);
+static void health_due(void *arg);
 
 int rp_node_init(struct rp_node *n, struct rp_loop *loop, struct rp_net net,
                  const struct rp_settings *s) {
@@ -56,12 +61,14 @@
     n->summary_timer = (struct rp_timer){.fn = summary_due, .arg = n};
     n->retry_timer = (struct rp_timer){.fn = retry_due, .arg = n};
     n->room_timer = (struct rp_timer){.fn = room_due, .arg = n};
+    n->health_timer = (struct rp_timer){.fn = health_due, .arg = n};
     return 0;
 }
 
 void rp_node_start(struct rp_node *n) {
     rp_timer_set(n->loop, &n->catalog_timer, 0);
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
+    rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
 }
 
 void rp_node_close(struct rp_node *n) {
@@ -74,6 +81,7 @@
     rp_timer_cancel(n->loop, &n->summary_timer);
     rp_timer_cancel(n->loop, &n->retry_timer);
     rp_timer_cancel(n->loop, &n->room_timer);
+    rp_timer_cancel(n->loop, &n->health_timer);
     rp_state_client_close(&n->state);
     rp_cloud_client_close(&n->cloud);
     rp_metrics_free(&n->metrics);
@@ -169,13 +177,16 @@
     struct rp_node *n = arg;
     if (n->at != RP_NODE_LEADING)
         return;
+    /* Rounds that take long keep a longer distance, and find more to do in one. */
     double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
-    if (since >= ROUND_GAP_S) {
+    double gap = n->round.took_s * ROUND_REST;
+    gap = gap > ROUND_GAP_S ? gap : ROUND_GAP_S;
+    if (since >= gap) {
         /* Before the report that brought the news is answered: its answer carries the starts. */
         rp_timer_cancel(n->loop, &n->room_timer);
         rp_round_run(&n->round);
     } else if (!n->room_timer.place) {
-        rp_timer_set(n->loop, &n->room_timer, ROUND_GAP_S - since);
+        rp_timer_set(n->loop, &n->room_timer, gap - since);
     }
 }
 
@@ -234,6 +245,26 @@
                         summary_came, n);
 }
 
+static void health_came(void *arg, const struct rp_answer *answer) {
+    struct rp_node *n = arg;
+    json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
+    if (json_is_true(json_object_get(v, "state_answers")) && rp_state_failing_s(&n->state) > DEAF_S)
+        n->deaf_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
+    json_decref(v);
+}
+
+/* An outage of the state service is everybody's: taking this node from the load balancer would help
+ * nobody then. But if the others are answered, users are better off with them. */
+static void health_due(void *arg) {
+    struct rp_node *n = arg;
+    rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
+    if (rp_state_failing_s(&n->state) <= DEAF_S)
+        return;
+    for (size_t i = 0; i < n->settings->n_peers; i++)
+        n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_HEALTH, NULL, HEALTH_S,
+                    health_came, n);
+}
+
 void rp_node_display(const struct rp_node *n, struct rp_job_status *status) {
     status->word = RP_JOB_QUEUED;
     status->done = status->running = 0;
@@ -319,6 +350,12 @@
     bool get = strcmp(req->method, "GET") == 0;
     if (get && strcmp(req->target, PATH_SUMMARY) == 0 && n->at == RP_NODE_LEADING)
         respond_text(req, summary_json(n));
+    else if (get && strcmp(req->target, PATH_HEALTH) == 0)
+        req->respond(req, 200,
+                     n->state.n_ok > 0 && rp_state_failing_s(&n->state) <= 0
+                         ? "{\"state_answers\":true}"
+                         : "{\"state_answers\":false}",
+                     0);
     else if (get && strcmp(req->target, PATH_STATUS) == 0)
         respond_text(req, status_json(n));
     else
@@ -328,7 +365,8 @@
 /* ---- users, workers, health ---- */
 
 bool rp_node_healthy(const struct rp_node *n) {
-    return n->catalog_known && n->state.last_ok.tv_sec != 0;
+    return n->catalog_known && n->state.n_ok > 0 &&
+           rp_ts_reached(rp_loop_now(n->loop), n->deaf_until);
 }
 
 static void refuse(struct rp_request *req, int status, const char *text) {
--- a/src/node.h
+++ b/src/node.h
@@ -28,7 +28,7 @@
     const struct rp_settings *settings;
     enum rp_node_state at;
     struct rp_catalog catalog;
-    bool catalog_known, state_seen;
+    bool catalog_known;
     struct rp_state_client state;
     struct rp_cloud_client cloud;
     struct rp_election election;
@@ -39,7 +39,8 @@
     struct rp_round round;
     struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
-    struct rp_timer room_timer;
+    struct rp_timer room_timer, health_timer;
+    struct timespec deaf_until; /* the state service answers others, but not this node */
     /* What the leader last told of running jobs, for display by other nodes. */
     struct rp_job_status *summary;
     size_t n_summary;
--- a/src/plan.c
+++ b/src/plan.c
@@ -8,7 +8,7 @@
 #define EPS 1e-9
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
-#define ESW_LONG 0.75 /* of its run time that a job is drawn forward */
+#define ESW_LONG 0.75    /* of its run time that a job is drawn forward */
 #define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
@@ -123,7 +123,8 @@
     case RP_SRW:
         return size * g->n * g->run_s;
     case RP_ESW:
-        return g->slack_s - ESW_LONG * g->run_s + ESW_WEIGHT * g->n * g->run_s * fleet_share(&g->each, fleet);
+        return g->slack_s - ESW_LONG * g->run_s +
+               ESW_WEIGHT * g->n * g->run_s * fleet_share(&g->each, fleet);
     }
     return 0;
 }
--- a/src/round.c
+++ b/src/round.c
@@ -10,7 +10,7 @@
 #define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
-#define LATE_SLACK_S 100 /* time to spare given to a job that has just become late */
+#define LATE_SLACK_S 100  /* time to spare given to a job that has just become late */
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
@@ -733,7 +733,8 @@
         empty_machines(r, &x, now);
     }
     apply_returns(r, &x, &plan, now);
-    rp_metrics_add(r->metrics, RP_METRIC_ROUND, rp_ts_since(rp_loop_now(r->loop), now));
+    r->took_s = rp_ts_since(rp_loop_now(r->loop), now);
+    rp_metrics_add(r->metrics, RP_METRIC_ROUND, r->took_s);
 out:
     rp_plan_free(&plan);
     input_free(&x);
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -40,7 +40,6 @@
     c->loop = loop;
     c->net = net;
     c->addr = addr;
-    c->last_ok = now;
     c->pump = (struct rp_timer){.fn = pump_due, .arg = c};
     rp_bucket_init(&c->requests[RP_SHARE_LEADER], rps * 0.35, rps * 0.25, now);
     rp_bucket_init(&c->writes[RP_SHARE_LEADER], write_rps * leader_write_share * 0.9,
@@ -104,7 +103,7 @@
             c->failing_since = now;
     } else {
         c->failing_since = (struct timespec){0};
-        c->last_ok = now;
+        c->n_ok++;
     }
     c->n_refused += outcome == RP_STATE_REFUSED;
     c->n_unknown += outcome == RP_STATE_UNKNOWN;
--- a/src/state_client.h
+++ b/src/state_client.h
@@ -36,9 +36,8 @@
     struct rp_bucket requests[RP_SHARES], writes[RP_SHARES];
     struct rp_state_call *first[RP_SHARES], *last[RP_SHARES];
     struct rp_timer pump;
-    struct timespec last_ok;
     struct timespec failing_since; /* zero while the last outcome was good */
-    unsigned long n_refused, n_unknown, n_shed;
+    unsigned long n_ok, n_refused, n_unknown, n_shed;
 };
 
 void rp_state_client_init(struct rp_state_client *c, struct rp_loop *loop, struct rp_net net,
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -770,6 +770,32 @@
     free(text);
 }
 
+/* Nodes answer one another at once, so the answer can be kept on the stack. */
+struct peer_request {
+    struct rp_request req;
+    int status;
+    json_t *body;
+};
+
+static void peer_respond(struct rp_request *req, int status, const char *body, int retry_after) {
+    struct peer_request *r = (struct peer_request *)(void *)req;
+    (void)retry_after;
+    r->status = status;
+    r->body = json_loads(body, 0, NULL);
+}
+
+static int peer_call(struct sim *s, const struct sim_event *e, json_t **out) {
+    int index = e->addr[strlen("peer")] - '0';
+    struct sim_node *n = &s->nodes[index];
+    struct peer_request r = {
+        .req = {.method = e->method, .target = e->target, .body = "", .respond = peer_respond}};
+    if (!n->alive || s->now < n->stalled_until)
+        return 0;
+    rp_node_peer_request(n->node, &r.req);
+    *out = r.body;
+    return r.status;
+}
+
 static void time_out(struct sim *s, struct sim_event *e) {
     if (!e->answered)
         answer_call(s, e, 0, NULL);
@@ -810,7 +836,7 @@
     else if (strcmp(e->addr, "cloud") == 0)
         status = cloud_request(s, e, body, &out);
     else
-        status = 404;
+        status = peer_call(s, e, &out);
     if (!e->answered) {
         if (chance(s, s->faults.lose))
             time_out(s, e);
@@ -981,6 +1007,8 @@
             over = request_arrives(s, e);
             break;
         case EV_REPORT:
+            if (s->cut_from_workers == e->node + 1)
+                break;
             node_receive(s, e->node, "POST", RP_PATH_REPORT, e->body, EV_REPORT_ANSWER, e->worker,
                          e->flight, 0);
             break;
@@ -1075,7 +1103,7 @@
 
 static const char settings_text[] =
     "{\"node_name\":\"n%d\",\"location\":\"a\",\"client_listen\":\"10.0.0.1:1\",\"peer_listen\":"
-    "\"10.0.0.1:2\",\"seeds\":[],\"external\":{\"cloud\":\"cloud\",\"state\":\"state\"},"
+    "\"10.0.0.1:2\",\"seeds\":[%s],\"external\":{\"cloud\":\"cloud\",\"state\":\"state\"},"
     "\"params\":{\"nodes\":3,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
     "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2,"
     "\"lease_s\":14,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":39},\"state\":{\"rps\":200,"
@@ -1095,7 +1123,13 @@
     s->rentals = json_object();
     for (int i = 0; i < SIM_NODES; i++) {
         char *text;
-        if (asprintf(&text, settings_text, i) < 0 ||
+        char peers[512] = "";
+        for (int p = 0; p < SIM_NODES; p++)
+            if (p != i)
+                sprintf(peers + strlen(peers),
+                        "%s{\"node_name\":\"n%d\",\"location\":\"a\",\"addr\":\"peer%d\"}",
+                        *peers ? "," : "", p, p);
+        if (asprintf(&text, settings_text, i, peers) < 0 ||
             rp_settings_parse(&s->settings[i], text, "settings", stderr))
             abort();
         free(text);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -115,7 +115,8 @@
     uint64_t next_lease, revision;
     json_t *log; /* changes, for watches */
     double outage_until;
-    json_t *rentals; /* request name -> answer */
+    int cut_from_workers; /* 1 + the node that no report reaches, 0: none */
+    json_t *rentals;      /* request name -> answer */
     int next_machine;
     struct sim_event *events[SIM_EVENTS];
     int n_events;
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -33,6 +33,47 @@
     sim_free(s);
 }
 
+/* A node that alone gets no answer from the state service leaves the load balancer, and comes back;
+ * in an outage, when all of them get none, all stay. */
+static void deaf_node_steps_aside(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(5, &none, SIM_SOUND);
+    (void)state;
+    sim_run(s, 5);
+    s->nodes[1].deaf_until = s->now + 8;
+    sim_run(s, 4);
+    assert_true(rp_node_healthy(s->nodes[0].node));
+    assert_false(rp_node_healthy(s->nodes[1].node));
+    sim_run(s, 8);
+    assert_true(rp_node_healthy(s->nodes[1].node));
+    s->outage_until = s->now + 10;
+    sim_run(s, 6);
+    for (int i = 0; i < SIM_NODES; i++)
+        assert_true(rp_node_healthy(s->nodes[i].node));
+    sim_free(s);
+}
+
+/* Incident c8a9: a leader that reached the state service but no worker kept the key for 50 s, and
+ * returned every machine. */
+static void isolated_leader_gives_way(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(6, &none, SIM_SOUND);
+    (void)state;
+    for (int i = 0; i < 6; i++)
+        sim_submit(s, 1, "sweep", 30, 1, 60, 0);
+    sim_run(s, 60);
+    int leader = sim_leader(s);
+    unsigned long returned = s->nodes[leader].node->fleet.n_returned;
+    assert_true(s->nodes[leader].node->picture.n_machines >= 4);
+    s->cut_from_workers = leader + 1;
+    sim_run(s, 11);
+    assert_true(sim_leader(s) >= 0 && sim_leader(s) != leader);
+    assert_int_equal(s->nodes[sim_leader(s)].node->fleet.n_returned, 0);
+    assert_true(s->nodes[leader].node->fleet.n_returned <= returned + 1);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* Days with one kind of trouble, then all together; afterwards the world is left in peace, and all
  * that was accepted must come to its end. */
 static void days_of_trouble(const struct sim_faults *faults, unsigned long first, int days) {
@@ -115,6 +156,8 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(quiet_day),
+                                       cmocka_unit_test(deaf_node_steps_aside),
+                                       cmocka_unit_test(isolated_leader_gives_way),
                                        cmocka_unit_test(bad_network),
                                        cmocka_unit_test(crashes),
                                        cmocka_unit_test(state_troubles),
