--- a/src/fleet.c
+++ b/src/fleet.c
@@ -663,7 +663,8 @@
     }
     bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
     /* A node cut off from everything can't give the key up either: its lease does that. */
-    if (!most || rp_state_failing_s(f->state) > 0 || rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
+    if (!most || rp_state_failing_s(f->state) > 0 ||
+        rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
         f->isolated_since = (struct timespec){0};
     else if (is_zero(f->isolated_since))
         f->isolated_since = now;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -193,17 +193,22 @@
     t->on_loaded(t->arg, false);
 }
 
+/* Whether a page of a list came, and is still wanted. */
+static bool page_came(const struct request *r, const struct rp_state_result *result) {
+    if (!request_current(r))
+        return false;
+    if (result->outcome != RP_STATE_OK)
+        load_failed(r->t);
+    return result->outcome == RP_STATE_OK;
+}
+
 static void got_progress(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
     bool more = false;
     struct rp_item item = {0};
-    if (!request_current(r))
+    if (!page_came(r, result))
         goto out;
-    if (result->outcome != RP_STATE_OK) {
-        load_failed(t);
-        goto out;
-    }
     size_t n = rp_wire_items(result->body, &more);
     for (size_t i = 0; i < n; i++) {
         char id[RP_ID_MAX];
@@ -249,12 +254,8 @@
     struct rp_jobs *t = r->t;
     bool more = false;
     struct rp_item item = {0};
-    if (!request_current(r))
+    if (!page_came(r, result))
         goto out;
-    if (result->outcome != RP_STATE_OK) {
-        load_failed(t);
-        goto out;
-    }
     /* The watch starts at the first page's revision: what changes between the pages comes again
      * through it, in order. */
     if (t->revision == 0)
@@ -487,35 +488,33 @@
     struct timespec now = rp_loop_now(t->loop);
     double room = rp_state_room(t->state, RP_SHARE_LEADER) - 3; /* left for finishing jobs */
     size_t most = t->settings->state_txn_ops;
-    struct request *r = NULL;
-    json_t *txn = NULL;
     if (room < 1)
         return;
     if ((double)most > room)
         most = (size_t)room;
+    struct request *r = request_new(t);
+    json_t *txn = rp_wire_txn();
+    r->saved = calloc(most, sizeof *r->saved);
+    if (!r->saved)
+        abort();
+    rp_election_guard(t->election, txn);
     for (struct rp_job *job = t->first; job; job = job->next) {
         if (job->state != RP_JOB_OPEN || !job->chunks_dirty ||
             rp_ts_since(now, job->dirty_since) < FLUSH_AGE_S)
             continue;
-        for (unsigned c = 0; c < 32 && (!r || r->n < most); c++) {
-            if (!((job->chunks_dirty & ~job->chunks_flushing) >> c & 1))
-                continue;
-            if (!r) {
-                r = request_new(t);
-                r->saved = calloc(most, sizeof *r->saved);
-                txn = rp_wire_txn();
-                rp_election_guard(t->election, txn);
-                if (!r->saved)
-                    abort();
-            }
-            flush_chunk(r, txn, job, c);
-        }
+        for (unsigned c = 0; c < 32 && r->n < most; c++)
+            if ((job->chunks_dirty & ~job->chunks_flushing) >> c & 1)
+                flush_chunk(r, txn, job, c);
         job->dirty_since = now;
-        if (r && r->n == most)
+        if (r->n == most)
             break;
     }
-    if (r)
+    if (r->n > 0) {
         rp_state_txn(t->state, RP_SHARE_LEADER, txn, flushed, r);
+    } else {
+        json_decref(txn);
+        request_free(r);
+    }
 }
 
 static void tick(void *arg) {
--- a/src/plan.c
+++ b/src/plan.c
@@ -453,7 +453,7 @@
 static bool can_wait(struct run *r, struct placing *pl) {
     const struct rp_plan_group *g = pl->g;
     double machines = 0, work = 0, part = 0;
-    int types = 0;
+    uint32_t types = 0;
     if (g->slack_s >= RP_NO_AIM_S || WAIT_SHARE <= 0)
         return false;
     for (size_t i = 0; i < r->in->n_machines + r->plan->n_fresh; i++) {
@@ -469,7 +469,7 @@
                          : r->in->machines[i].wait_s);
         if (!(types >> type & 1))
             work += r->queued_s[type];
-        types |= 1 << type;
+        types |= 1u << type;
     }
     double own = pl->left * part * g->run_s;
     if (machines == 0 || (work + own) / machines > WAIT_SHARE * g->slack_s)
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,6 +1,7 @@
 /* Both settings files: what is read, and what is refused, with its place. */
 #include "test.h"
 
+#include <gsl/gsl_rng.h>
 #include "settings.h"
 
 static char told[4096];
@@ -104,13 +105,53 @@
     assert_int_equal(read_platform(6, 12, "56", &s), 0);
     assert_true(s.tuning.leader_ttl_s < 2 && s.tuning.leader_ttl_s >= 1);
     s.tuning.leader_ttl_s = 5;
-    assert_int_not_equal(rp_settings_check(&s, fmemopen(told, sizeof told, "w")), 0);
+    FILE *errors = fmemopen(told, sizeof told, "w");
+    assert_int_not_equal(rp_settings_check(&s, errors), 0);
+    fclose(errors);
     rp_settings_free(&s);
 }
 
+/* Whatever the text: read or refused, never a crash or a leak. */
+static void random_text(void **state) {
+    static const char pieces[][20] = {"round_period_s",
+                                      "heuristic",
+                                      ":",
+                                      " ",
+                                      "\n",
+                                      "\"FCFS-SM\"",
+                                      "[",
+                                      "]",
+                                      ",",
+                                      "2.5",
+                                      "-",
+                                      "true",
+                                      "#",
+                                      "'",
+                                      "preemption",
+                                      "1e400",
+                                      "{",
+                                      "\x7f",
+                                      "faulty_after",
+                                      "3"};
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    (void)state;
+    gsl_rng_set(rng, 13);
+    for (int round = 0; round < 5000; round++) {
+        char text[256] = "";
+        struct rp_tuning t;
+        for (int k = 0; k < 8; k++)
+            strcat(text, pieces[gsl_rng_uniform_int(rng, sizeof pieces / sizeof pieces[0])]);
+        int mistakes = tune(text, &t);
+        assert_true(mistakes > 0 || (t.n_heuristics > 0 && t.round_period_s >= 0.5));
+        assert_true((mistakes > 0) == (told[0] != '\0'));
+    }
+    gsl_rng_free(rng);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(operators_file), cmocka_unit_test(operators_mistakes),
-        cmocka_unit_test(platform_file), cmocka_unit_test(leader_lease_fits)};
+        cmocka_unit_test(platform_file), cmocka_unit_test(leader_lease_fits),
+        cmocka_unit_test(random_text)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -96,6 +96,37 @@
     assert_false(rp_wire_report("{\"sheave\":\"vm-1\"}", 17, &r));
 }
 
+/* Bytes changed at random in good messages: read or refused, never a crash or a leak; what is read
+ * stays within its limits. */
+static void mutated_messages(void **state) {
+    static const char report[] =
+        "{\"sheave\":\"vm-1\",\"address\":\"a:1\",\"frame\":\"g8\",\"yard\":\"a\",\"loaners\":true,"
+        "\"stint\":1,\"tick\":88,\"warrant\":41,\"recall_s\":null,\"lifts\":[{\"lift\":"
+        "\"j-000412/3\",\"pull\":2,\"tension\":\"exited\",\"slack_reason\":\"done\"}]}";
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    (void)state;
+    gsl_rng_set(rng, 17);
+    for (int round = 0; round < 20000; round++) {
+        bool job = round % 2;
+        char text[1024], why[128];
+        struct rp_job_spec spec;
+        struct rp_report r;
+        strcpy(text, job ? good : report);
+        size_t len = strlen(text);
+        for (unsigned k = 0; k <= gsl_rng_uniform_int(rng, 3); k++)
+            text[gsl_rng_uniform_int(rng, len)] = (char)(32 + gsl_rng_uniform_int(rng, 96));
+        if (job && rp_wire_submission(text, len, &spec, why)) {
+            assert_true(rp_wire_id_valid(spec.id) && spec.n_tasks >= 1 &&
+                        spec.n_tasks <= RP_TASKS_MAX && spec.each.cpus >= 0);
+            rp_job_spec_free(&spec);
+        } else if (!job && rp_wire_report(text, len, &r)) {
+            assert_true(r.n_tasks <= 1 && strlen(r.machine) < RP_TEXT_MAX);
+            rp_report_free(&r);
+        }
+    }
+    gsl_rng_free(rng);
+}
+
 /* An answer's only line must stay below 64 KiB with the most commands it may carry. */
 static void answers_fit(void **state) {
     struct rp_command *c = calloc(400, sizeof *c);
@@ -139,8 +170,9 @@
 }
 
 int main(void) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(submissions),
-                                       cmocka_unit_test(bad_submissions), cmocka_unit_test(reports),
-                                       cmocka_unit_test(answers_fit), cmocka_unit_test(progress)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(submissions), cmocka_unit_test(bad_submissions),
+        cmocka_unit_test(reports),     cmocka_unit_test(answers_fit),
+        cmocka_unit_test(progress),    cmocka_unit_test(mutated_messages)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
