--- a/src/plan.c
+++ b/src/plan.c
@@ -14,7 +14,7 @@
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
                                         "STJF", "EDF", "SRW", "ESW"};
 static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA",  "LD",
-                                            "ED",  "LAA", "EAA", "CFH", "FFH", "BF"};
+                                            "ED",  "LAA", "EAA", "CFH", "FFH", "BF", "CP"};
 
 static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
     for (size_t i = 0; i < n; i++)
@@ -165,6 +165,8 @@
         return into_unit;
     case RP_BF:
         return room_share(m);
+    case RP_CP:
+        return m->price / fmax(1, size);
     }
     return 0;
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -24,7 +24,8 @@
     RP_EAA,
     RP_CFH,
     RP_FFH,
-    RP_BF /* least room first */
+    RP_BF, /* least room first */
+    RP_CP  /* cheapest capacity first */
 };
 
 struct rp_heuristic {
