--- a/src/settings.c
+++ b/src/settings.c
@@ -222,13 +222,13 @@
 }
 
 void rp_tuning_defaults(struct rp_tuning *t) {
-    static const char *const heuristics[] = {"ESW-CP", "ESW-LD", "ESW-CFH", "ESW-BF"};
+    static const char *const heuristics[] = {"ESW-CP", "ESW-SM", "ESW-BF"};
     *t = (struct rp_tuning){.round_period_s = 10,
                             .billing_unit_s = 20,
                             .return_margin_s = 10,
                             .leader_ttl_s = 0, /* 0: chosen by rp_settings_complete */
                             .leader_check_s = 0.5,
-                            .boot_patience = 3.2,
+                            .boot_patience = 3.5,
                             .refused_pause_s = 15,
                             .leader_write_share = 0.6,
                             .faulty_after = 2,
