--- a/src/plan.c
+++ b/src/plan.c
@@ -8,6 +8,7 @@
 #define EPS 1e-9
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
+#define ESW_FETCH 2.0 /* seconds of slack that a second of fetching weighs */
 #define ESW_LONG 0.75    /* of its run time that a job is drawn forward */
 #define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
@@ -181,6 +182,23 @@
     }
 }
 
+static bool allowed(const struct rp_plan_group *g, int type, int zone, bool spot);
+
+/* What a fetch would delay the group by: nothing if a machine with room holds its image. */
+static double fetch_ahead_s(const struct run *r, const struct rp_plan_group *g) {
+    double fetch = 0;
+    for (size_t i = 0; i < r->in->n_machines; i++) {
+        const struct rp_plan_machine *m = &r->in->machines[i];
+        if (!allowed(g, m->type, m->zone, m->spot) || m->fetch_gb_per_s <= 0 ||
+            !fits(&g->each, &m->room, 1))
+            continue;
+        if (g->has_image && g->has_image[i])
+            return 0;
+        fetch = fmax(fetch, g->image_gb / m->fetch_gb_per_s);
+    }
+    return fetch;
+}
+
 static void sort_groups(struct run *r, enum rp_job_order order) {
     size_t n = r->in->n_groups;
     struct rp_resources fleet = {0};
@@ -189,6 +207,8 @@
     for (size_t i = 0; i < n; i++) {
         r->group_order[i] = i;
         r->key[i] = group_key(&r->in->groups[i], order, i, &fleet);
+        if (order == RP_ESW)
+            r->key[i] += ESW_FETCH * fetch_ahead_s(r, &r->in->groups[i]);
     }
     sort_by(r->group_order, r->key, n);
     /* Priority comes before every order: work never waits for work of a lower priority. */
