An urgent gang has a machine with its image freed rather than fetch it elsewhere

Cause: a cold gang holds a whole GPU machine for 30 to 75 s of fetching; saving lower tasks takes 8.

--- a/src/plan.c
+++ b/src/plan.c
@@ -8,14 +8,14 @@
 #define EPS 1e-9
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
-#define ESW_FETCH 2.0 /* seconds of slack that a second of fetching weighs */
+#define ESW_FETCH 2.0    /* seconds of slack that a second of fetching weighs */
 #define ESW_LONG 0.75    /* of its run time that a job is drawn forward */
 #define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
                                         "STJF", "EDF", "SRW", "ESW"};
-static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA",  "LD",
-                                            "ED",  "LAA", "EAA", "CFH", "FFH", "BF", "CP"};
+static const char *const machine_names[] = {"RND", "LM",  "SM",  "LA",  "EA", "LD", "ED",
+                                            "LAA", "EAA", "CFH", "FFH", "BF", "CP"};
 
 static int name_index(const char *name, size_t len, const char *const *names, size_t n) {
     for (size_t i = 0; i < n; i++)
--- a/src/round.c
+++ b/src/round.c
@@ -12,6 +12,7 @@
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
 #define LATE_SLACK_S 100  /* time to spare given to a job that has just become late */
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
+#define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
 #define BATCH_MAX 512
@@ -538,11 +539,14 @@
         rp_info("job %s gets room on %s: tasks stopped=%u", job->spec.id, m->name, stopped);
 }
 
-static void preempt_for(struct rp_round *r, const struct rp_job *job, struct timespec now) {
+/* The machine where room for the job costs least; of those that hold its image, if asked so. */
+static struct rp_machine *cheapest_stop(struct rp_round *r, const struct rp_job *job,
+                                        bool with_image, struct timespec now) {
     struct rp_machine *best = NULL;
     double best_price = 0;
     for (struct rp_machine *m = r->picture->first; m; m = m->next) {
         if (!rp_machine_usable(m) || reserved_for(r, m) ||
+            (with_image && !rp_machine_has_image(m, job->spec.image)) ||
             !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot))
             continue;
         double price = stop_price(r, m, job, now);
@@ -551,8 +555,36 @@
             best_price = price;
         }
     }
-    if (best)
-        stop_for(r, best, job);
+    return best;
+}
+
+static bool may_preempt(const struct rp_job *job) {
+    return job->spec.priority >= RP_HIGH && job->spec.kind == RP_GANG && job->spec.n_tasks == 1;
+}
+
+/* An urgent gang that would have to fetch its image, though another machine holds it and only has
+ * to be freed of lower work, has that machine freed: saving that work takes less than the fetch,
+ * which a whole machine would stand idle for. */
+static void prefer_holders(struct rp_round *r, const struct input *x, struct rp_plan *plan,
+                           struct timespec now) {
+    if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
+        return;
+    for (size_t i = 0; i < plan->n_puts; i++) {
+        struct rp_plan_put *put = &plan->puts[i];
+        const struct rp_job *job = x->groups[put->group].ref;
+        const struct rp_machine *m =
+            put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
+        if (!put->now || !m || !may_preempt(job) || rp_machine_has_image(m, job->spec.image))
+            continue;
+        double rate = catalog(r)->types[m->type].fetch_gb_per_s;
+        if (rate <= 0 || job->spec.image_gb / rate < HOLDER_WORTH_S)
+            continue;
+        struct rp_machine *holder = cheapest_stop(r, job, true, now);
+        if (!holder)
+            continue;
+        stop_for(r, holder, job);
+        put->count = 0;
+    }
 }
 
 /* Only gangs of one task are given room this way, one machine at a time: what is stopped for a
@@ -564,8 +596,7 @@
     for (size_t g = 0; g < x->in.n_groups; g++) {
         const struct rp_job *job = x->groups[g].ref;
         bool now_placed = false, soon = false;
-        if (x->groups[g].held || job->spec.priority < RP_HIGH || job->spec.kind != RP_GANG ||
-            job->spec.n_tasks != 1)
+        if (x->groups[g].held || !may_preempt(job))
             continue;
         for (size_t p = 0; p < plan->n_puts; p++) {
             const struct rp_plan_put *put = &plan->puts[p];
@@ -576,8 +607,9 @@
                 put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
             soon |= m && m->state == RP_MACHINE_UP && x->machines[put->machine].busy_s < SOON_S;
         }
-        if (!now_placed && !soon)
-            preempt_for(r, job, now);
+        struct rp_machine *m = now_placed || soon ? NULL : cheapest_stop(r, job, false, now);
+        if (m)
+            stop_for(r, m, job);
     }
 }
 
@@ -724,6 +756,7 @@
              plan.left, plan.cost, r->settings->tuning.heuristics[winner]);
     if (rp_log_current() >= RP_LOG_DEBUG && r->n_rounds % 10 == 0)
         log_use(r);
+    prefer_holders(r, &x, &plan, now);
     apply_starts(r, &x, &plan);
     /* While machines from before the takeover are unknown, what they run is, too: renting for
      * tasks that may be running already would be waste. */
