--- a/src/jobs.c
+++ b/src/jobs.c
@@ -129,8 +129,7 @@
     job->team = rp_settings_team(t->settings, job->spec.team);
     job->done = calloc(1, bytes);
     job->durable = calloc(1, bytes);
-    job->where = calloc(1, job->spec.n_tasks);
-    if (!job->done || !job->durable || !job->where) {
+    if (!job->done || !job->durable) {
         job_free(job);
         return NULL;
     }
@@ -367,6 +366,24 @@
     return job->done[task / 8] >> (task % 8) & 1;
 }
 
+unsigned rp_job_places(const struct rp_job *job, uint32_t task) {
+    return job->where ? job->where[task] : 0;
+}
+
+void rp_job_count_place(struct rp_job *job, uint32_t task, int sign) {
+    if (!job->where)
+        job->where = calloc(1, job->spec.n_tasks);
+    if (!job->where)
+        abort(); /* out of memory: a restart is the honest answer */
+    job->where[task] = (uint8_t)(job->where[task] + sign);
+    job->n_counted += (uint32_t)sign;
+    /* Jobs that wait may have 100,000 tasks each, and there may be many of them. */
+    if (job->n_counted == 0) {
+        free(job->where);
+        job->where = NULL;
+    }
+}
+
 bool rp_job_task_durable(const struct rp_job *job, uint32_t task) {
     return job->state == RP_JOB_CLOSED || (job->durable[task / 8] >> (task % 8) & 1);
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -29,7 +29,7 @@
     uint32_t n_counted;      /* places whose task may be on a machine */
     uint32_t n_refs;         /* places that point here */
     uint8_t *done, *durable; /* bit sets over the tasks */
-    uint8_t *where;          /* in how many places each task may be */
+    uint8_t *where;          /* in how many places each task may be; NULL: in none */
     uint32_t zone_count[RP_ZONES_MAX];
     uint32_t cursor;                                        /* no task below it can be started */
     uint32_t chunks_written, chunks_dirty, chunks_flushing; /* bit sets */
@@ -94,6 +94,10 @@
 double rp_job_age_s(const struct rp_job *job, struct timespec now);
 
 bool rp_job_task_done(const struct rp_job *job, uint32_t task);
+/* In how many places the task may be. */
+unsigned rp_job_places(const struct rp_job *job, uint32_t task);
+/* Counts a place more or less; memory is taken only while some task has one. */
+void rp_job_count_place(struct rp_job *job, uint32_t task, int sign);
 bool rp_job_task_durable(const struct rp_job *job, uint32_t task);
 /* A worker has reported the task done (of a gang: any task). */
 void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task);
--- a/src/picture.c
+++ b/src/picture.c
@@ -221,7 +221,7 @@
                           const struct rp_machine *m) {
     const struct rp_resources *each = &job->spec.each;
     struct rp_resources room = rp_machine_free(p, m);
-    return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && job->where[task] == 0 &&
+    return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && rp_job_places(job, task) == 0 &&
            !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_job_settled(p, job) &&
            rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
            each->cpus <= room.cpus + 1e-9 && each->gpus <= room.gpus + 1e-9 &&
@@ -231,8 +231,7 @@
 static void count_place(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
                         int sign) {
     struct rp_job *job = place->job;
-    job->where[place->task] = (uint8_t)(job->where[place->task] + sign);
-    job->n_counted += (uint32_t)sign;
+    rp_job_count_place(job, place->task, sign);
     if (m->zone >= 0)
         job->zone_count[m->zone] += (uint32_t)sign;
     if (job->team >= 0) {
--- a/src/round.c
+++ b/src/round.c
@@ -409,7 +409,7 @@
 
 static bool next_task(struct rp_job *job, uint32_t *task) {
     for (; job->cursor < job->spec.n_tasks; job->cursor++)
-        if (job->where[job->cursor] == 0 && !rp_job_task_done(job, job->cursor)) {
+        if (rp_job_places(job, job->cursor) == 0 && !rp_job_task_done(job, job->cursor)) {
             *task = job->cursor;
             return true;
         }
--- a/src/workers.c
+++ b/src/workers.c
@@ -128,7 +128,9 @@
     }
     struct rp_place *place = find_place(m, job, t->task, t->attempt);
     if (!place) {
-        if (t->state != RP_TASK_EXITED && job->where[t->task])
+        /* An old copy of a report, read before any newer one, may name a place that is long gone;
+         * one that shows our token doesn't. */
+        if (t->state != RP_TASK_EXITED && m->token_seen && rp_job_places(job, t->task))
             rp_error("task %s/%u may be in two places, one is %s", job->spec.id, t->task, m->name);
         place = rp_place_add(w->picture, m, job, t->task, t->attempt, RP_PLACE_SEEN);
     }
@@ -178,14 +180,23 @@
     m->noticed = true;
     m->notice_end = rp_ts_after(rp_loop_now(w->loop), r->notice_s);
     for (size_t i = m->n_places; i-- > 0;) {
+        if (i >= m->n_places)
+            continue; /* stopping a gang has dropped places here */
         struct rp_place *place = &m->places[i];
         const struct rp_job_spec *spec = &place->job->spec;
-        if (place->state == RP_PLACE_PLANNED)
+        double grace = spec->save_s * 1.5 + 1;
+        bool idle = place->task_state == RP_TASK_FETCHING || place->task_state == RP_TASK_WAITING;
+        /* A gang's progress is safe only if all of its tasks are told within gang_peer_s: each
+         * machine reports before that. */
+        if (spec->kind == RP_GANG && spec->n_tasks > 1 && !place->stop)
+            rp_picture_stop_job(w->picture, place->job,
+                                spec->checkpoint_s > 0 && !idle ? grace : 0);
+        else if (place->state == RP_PLACE_PLANNED)
             rp_place_drop(w->picture, m, i);
-        else if (place->task_state == RP_TASK_FETCHING || place->task_state == RP_TASK_WAITING)
+        else if (idle)
             rp_place_stop(place, 0);
         else if (spec->checkpoint_s > 0)
-            rp_place_stop(place, spec->save_s * 1.5 + 1);
+            rp_place_stop(place, grace);
     }
 }
 
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -494,7 +494,7 @@
     return true;
 }
 
-static json_t *worker_report(struct sim_worker *w) {
+static json_t *worker_report(struct sim_worker *w, double now) {
     static const char *const words[] = {"fetching", "waiting", "running", "flushing", "exited"};
     json_t *tasks = json_array();
     for (int i = 0; i < w->n_tasks; i++) {
@@ -510,11 +510,12 @@
         json_array_append_new(tasks, v);
     }
     w->seq++;
-    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "sheave", w->name, "address",
+    json_t *notice = w->taken_at > 0 ? json_real(fmax(0, w->taken_at - now)) : json_null();
+    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:o,s:o}", "sheave", w->name, "address",
                      w->name, "frame", sim_types[w->type].name, "yard", sim_zones[w->zone],
                      "loaners", w->spot, "stint", (json_int_t)w->session, "tick",
-                     (json_int_t)w->seq, "warrant", (json_int_t)w->token, "recall_s", "lifts",
-                     tasks);
+                     (json_int_t)w->seq, "warrant", (json_int_t)w->token, "recall_s", notice,
+                     "lifts", tasks);
 }
 
 /* Members of the gang attempt that are in one of the states; `lost` when fewer than all live. */
@@ -583,7 +584,7 @@
 static void worker_send(struct sim *s, int index) {
     struct sim_worker *w = &s->workers[index];
     struct sim_event *e = event_new(s, EV_REPORT, delay(s));
-    json_t *report = worker_report(w);
+    json_t *report = worker_report(w, s->now);
     e->body = json_dumps(report, JSON_COMPACT);
     json_decref(report);
     e->worker = index;
@@ -618,6 +619,10 @@
         w->next = s->now;
         w->node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
     }
+    if (w->taken_at > 0 && s->now > w->taken_at) {
+        w->used = w->alive = false;
+        return;
+    }
     /* The lease ends by the worker's clock whether the machine hangs or not. */
     if (s->now > w->answered_sent + LEASE_S) {
         if (s->breakage != SIM_WORKERS_KEEP_TASKS)
@@ -979,8 +984,7 @@
         id, "rig", gang ? "g" : "a", "crew", "t", "haul", kind, "precedence",
         gang ? "urgent" : "low", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0,
         "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
-        "loaners", !gang, "run_guess_s", run_s, "brace_every_s", gang ? 0.0 : 5.0, "brace_s", 1.0,
-        "due_s");
+        "loaners", true, "run_guess_s", run_s, "brace_every_s", 5.0, "brace_s", 1.0, "due_s");
     if (!v || !rp_wire_spec_read(v, &job->spec, why))
         abort();
     job->used = true;
@@ -1051,6 +1055,10 @@
         s->nodes[node].stalled_until = s->now + 12 * uniform(s);
     if (every(s, f->hang_s / 8))
         w->hung_until = s->now + 40 * uniform(s);
+    if (every(s, f->take_s / 8) && w->used && w->spot && w->taken_at <= 0) {
+        w->taken_at = s->now + (chance(s, 0.3) ? 0.01 : 5 + 10 * uniform(s));
+        w->changed = true;
+    }
     if (every(s, f->death_s / 8) && w->used)
         w->alive = false;
 }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -28,6 +28,7 @@
     double hang_s;     /* mean time between hangs of some worker */
     double death_s;    /* mean time between deaths of some worker */
     double stall_s;    /* mean time between stalls of some node */
+    double take_s;     /* mean time between takings of some spot machine, most with notice */
     double task_error; /* chance that a task fails */
 };
 
@@ -57,6 +58,7 @@
     int type, zone;
     bool spot;
     double rented, boots, hung_until;
+    double taken_at; /* 0: not to be taken */
     uint64_t session, seq, token;
     double answered_sent; /* when the last answered report was sent */
     struct sim_task tasks[SIM_TASKS];
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -110,7 +110,8 @@
 }
 
 static void machine_troubles(void **state) {
-    static const struct sim_faults f = {.hang_s = 15, .death_s = 20, .task_error = 0.02};
+    static const struct sim_faults f = {
+        .hang_s = 15, .death_s = 20, .take_s = 10, .task_error = 0.02};
     (void)state;
     days_of_trouble(&f, 400, 8);
 }
