--- a/src/api.c
+++ b/src/api.c
@@ -39,7 +39,6 @@
     op->state = OP_ANSWERED;
     if (status == 400 || status == 422)
         rp_info("submission %s refused with %d: %s", op->id, status, op->why);
-    op->node->n_answers[status / 100 < 6 ? status / 100 : 0]++;
     rp_metrics_add(&op->node->metrics, op->kind == OP_SUBMIT ? RP_METRIC_SUBMIT : RP_METRIC_QUERY,
                    rp_ts_since(rp_loop_now(op->node->loop), op->since));
     op->req->respond(op->req, status, body ? body : "{}", retry_after);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -535,7 +535,6 @@
         }
         return;
     }
-    m->listed = true;
     m->list_missing = 0;
     m->listed_failed = l->state == RP_LISTED_FAILED;
     rp_fleet_describe(f, m, l->type, l->zone, l->spot);
@@ -788,7 +787,6 @@
         load_page(f, item.key);
         goto out;
     }
-    f->active = true;
     f->led_since = rp_loop_now(f->loop);
     rp_timer_set(f->loop, &f->timer, 0);
     f->on_loaded(f->arg, true);
@@ -809,7 +807,7 @@
 
 void rp_fleet_clear(struct rp_fleet *f) {
     f->generation++;
-    f->active = f->listing = f->deleting = false;
+    f->listing = f->deleting = false;
     f->proven_since = f->isolated_since = (struct timespec){0};
     f->n_refusals = 0;
     rp_timer_cancel(f->loop, &f->timer);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -55,7 +55,7 @@
     struct timespec led_since;
     struct timespec proven_since;   /* leadership was provable ever since; zero: it isn't now */
     struct timespec isolated_since; /* most machines fell silent together; zero: they didn't */
-    bool active, loading, listing, deleting;
+    bool listing, deleting;
     struct timespec next_list, next_catalog;
     char list_after[RP_TEXT_MAX];
     struct rp_timer timer;
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -16,7 +16,6 @@
     struct rp_jobs *t;
     unsigned long generation;
     char job[RP_ID_MAX];
-    uint32_t chunks;
     size_t n;
     struct {
         char job[RP_ID_MAX];
--- a/src/main.c
+++ b/src/main.c
@@ -4,10 +4,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/signalfd.h>
 #include "http.h"
 #include "log.h"
 #include "node.h"
 
+#define LEAVE_S 0.5 /* for the last answers, and for giving the key up */
 #define OPERATOR_FILE "/etc/ridgepulley/operator.txtpb"
 
 /* Exit codes. */
@@ -117,11 +119,47 @@
     return mistakes ? EXIT_USAGE : EXIT_OK;
 }
 
+/* A process that is asked to end gives the key up first, so that nobody waits for its lease. */
+struct leaving {
+    struct rp_loop *loop;
+    struct rp_node *node;
+    struct rp_watch watch;
+    struct rp_timer timer;
+};
+
+static void leave_now(void *arg) {
+    rp_loop_stop(((struct leaving *)arg)->loop);
+}
+
+static void leave(void *arg, uint32_t events) {
+    struct leaving *l = arg;
+    (void)events;
+    rp_info("asked to end");
+    rp_watch_remove(l->loop, &l->watch);
+    rp_node_leave(l->node);
+    rp_timer_set(l->loop, &l->timer, LEAVE_S);
+}
+
+static void watch_signals(struct leaving *l) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    l->watch = (struct rp_watch){.fd = -1, .fn = leave, .arg = l};
+    l->timer = (struct rp_timer){.fn = leave_now, .arg = l};
+    if (sigprocmask(SIG_BLOCK, &set, NULL) == 0)
+        l->watch.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    /* Where signals can't be watched they keep their old effect, which nodes survive as well. */
+    if (l->watch.fd < 0 || rp_watch_add(l->loop, &l->watch, EPOLLIN) < 0)
+        sigprocmask(SIG_UNBLOCK, &set, NULL);
+}
+
 static int serve(const struct rp_settings *s) {
     struct rp_loop loop;
     struct rp_http_client client;
     struct rp_http_server users, peers;
-    static struct rp_node node;
+    struct rp_node *node = calloc(1, sizeof *node);
+    struct leaving leaving = {.loop = &loop, .node = node};
     /* Sockets: users and workers get most, calls of our own a part, the rest stays free. */
     size_t own = s->max_connections / 8 < 64 ? s->max_connections / 8 : 64;
     struct rp_http_limits user_limits = {.max_conns = s->max_connections * 3 / 4,
@@ -131,28 +169,39 @@
                                          .send_s = 10};
     struct rp_http_limits peer_limits = user_limits;
     peer_limits.max_conns = s->max_connections / 16;
-    int rc = rp_loop_init(&loop, false);
+    int rc = node ? rp_loop_init(&loop, false) : -ENOMEM;
     if (rc < 0)
         goto out;
     rp_http_client_init(&client, &loop, 24, own, 16u << 20);
-    rc = rp_node_init(&node, &loop, rp_http_client_net(&client), s);
+    rc = rp_node_init(node, &loop, rp_http_client_net(&client), s);
     if (rc < 0)
-        goto out;
+        goto out_loop;
     rc = rp_http_server_open(&users, &loop, s->client_listen, &user_limits, rp_node_client_request,
-                             &node);
+                             node);
     if (rc < 0)
-        goto out;
+        goto out_node;
     rc = rp_http_server_open(&peers, &loop, s->peer_listen, &peer_limits, rp_node_peer_request,
-                             &node);
+                             node);
     if (rc < 0)
-        goto out;
+        goto out_users;
     rp_info("ridgepulley " RP_VERSION " serves users on %s, peers on %s", s->client_listen,
             s->peer_listen);
-    rp_node_start(&node);
+    watch_signals(&leaving);
+    rp_node_start(node);
     rc = rp_loop_run(&loop);
+    rp_http_server_close(&peers);
+out_users:
+    rp_http_server_close(&users);
+out_node:
+    rp_node_close(node);
+    rp_http_client_close(&client);
+out_loop:
+    rp_loop_close(&loop);
 out:
-    rp_error("ended: %s", strerror(-rc));
-    return EXIT_TROUBLE;
+    free(node);
+    if (rc < 0)
+        rp_error("ended: %s", strerror(-rc));
+    return rc < 0 ? EXIT_TROUBLE : EXIT_OK;
 }
 
 int main(int argc, char **argv) {
@@ -162,12 +211,14 @@
     if (rc >= 0)
         return rc;
     rc = load_settings(&o, &settings);
-    if (rc != EXIT_OK || o.check) {
-        if (rc == EXIT_OK)
-            puts("settings are good");
-        return rc;
-    }
+    if (rc == EXIT_OK && o.check)
+        puts("settings are good");
+    if (rc != EXIT_OK || o.check)
+        goto out;
     signal(SIGPIPE, SIG_IGN);
     rp_log_setup(settings.node, rp_log_level_named(getenv("LOG_LEVEL")));
-    return serve(&settings);
+    rc = serve(&settings);
+out:
+    rp_settings_free(&settings);
+    return rc;
 }
--- a/src/node.c
+++ b/src/node.c
@@ -88,6 +88,11 @@
     free(n->summary);
 }
 
+void rp_node_leave(struct rp_node *n) {
+    n->leaving = true;
+    rp_election_resign(&n->election, 3600);
+}
+
 /* ---- the machine types: without them a node can't judge submissions, nor lead ---- */
 
 static void catalog_came(void *arg, const struct rp_answer *answer) {
@@ -325,16 +330,17 @@
     for (size_t i = 0; i < n->settings->tuning.n_heuristics; i++)
         json_object_set_new(wins, n->settings->tuning.heuristics[i],
                             json_integer((json_int_t)n->round.wins[i]));
-    json_t *v =
-        json_pack("{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
-                  n->settings->node, "state", states[n->at], "leader", n->election.leader, "token",
-                  (json_int_t)n->election.token, "lease_proven",
-                  rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes", class_counts(n),
-                  "machines", machine_counts(n), "rounds", (json_int_t)n->round.n_rounds,
-                  "plan_winners", wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
-                  (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented,
-                  "refused", (json_int_t)n->fleet.n_refused, "returned",
-                  (json_int_t)n->fleet.n_returned, "latencies", rp_metrics_json(&n->metrics));
+    json_t *v = json_pack(
+        "{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
+        n->settings->node, "state", states[n->at], "leader", n->election.leader, "token",
+        (json_int_t)n->election.token, "lease_proven",
+        rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes", class_counts(n),
+        "machines", machine_counts(n), "rounds", (json_int_t)n->round.n_rounds, "plan_winners",
+        wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
+        (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented, "refused",
+        (json_int_t)n->fleet.n_refused, "returned", (json_int_t)n->fleet.n_returned, "accepted",
+        (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "latencies",
+        rp_metrics_json(&n->metrics));
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
     return text;
@@ -365,7 +371,7 @@
 /* ---- users, workers, health ---- */
 
 bool rp_node_healthy(const struct rp_node *n) {
-    return n->catalog_known && n->state.n_ok > 0 &&
+    return !n->leaving && n->catalog_known && n->state.n_ok > 0 &&
            rp_ts_reached(rp_loop_now(n->loop), n->deaf_until);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -44,12 +44,15 @@
     /* What the leader last told of running jobs, for display by other nodes. */
     struct rp_job_status *summary;
     size_t n_summary;
-    unsigned long n_accepted, n_answers[6];
+    unsigned long n_accepted;
+    bool leaving;
 };
 
 int rp_node_init(struct rp_node *n, struct rp_loop *loop, struct rp_net net,
                  const struct rp_settings *settings);
 void rp_node_start(struct rp_node *n);
+/* The process is about to end: no more users, and the key is given up. */
+void rp_node_leave(struct rp_node *n);
 void rp_node_close(struct rp_node *n);
 /* Requests from users, workers and health checks. */
 void rp_node_client_request(void *node, struct rp_request *req);
--- a/src/picture.c
+++ b/src/picture.c
@@ -57,7 +57,7 @@
     strncpy(m->name, name, sizeof m->name - 1);
     m->state = state;
     m->type = m->zone = -1;
-    m->rented = m->idle_since = rp_loop_now(p->loop);
+    m->rented = rp_loop_now(p->loop);
     m->prev = p->last;
     if (p->last)
         p->last->next = m;
@@ -90,7 +90,6 @@
     rp_debug("machine %s: %s -> %s", m->name, names[m->state], names[state]);
     if (state == RP_MACHINE_UP && m->up.tv_sec == 0 && m->up.tv_nsec == 0) {
         m->up = now;
-        m->idle_since = now;
     }
     if (state == RP_MACHINE_LOST) {
         rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_places);
@@ -289,8 +288,6 @@
     if (counts(place->state))
         count_place(p, m, place, -1);
     m->places[index] = m->places[--m->n_places];
-    if (m->n_places == 0)
-        m->idle_since = rp_loop_now(p->loop);
     rp_jobs_release(p->jobs, job);
 }
 
--- a/src/picture.h
+++ b/src/picture.h
@@ -72,7 +72,6 @@
     struct timespec notice_end;
     struct timespec rented, up, last_report;
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
-    struct timespec idle_since;
     struct rp_place *places;
     size_t n_places, cap_places;
     struct rp_foreign *foreign;
@@ -81,14 +80,12 @@
     size_t n_images;
     unsigned errors_row; /* errors since the last task that ended well */
     bool faulty;
-    bool emptied;         /* its work moves elsewhere, then it goes back */
-    struct timespec told; /* when a direct command last went out */
-    bool telling;
+    bool emptied;             /* its work moves elsewhere, then it goes back */
     char reserved[RP_ID_MAX]; /* room is kept here for this job, "" for none */
     struct timespec reserved_until;
     bool delete_sent;
     unsigned list_missing;
-    bool listed, listed_failed;
+    bool listed_failed;
     struct rp_machine *prev, *next;
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -214,13 +214,6 @@
     return -1;
 }
 
-int rp_settings_zone(const struct rp_settings *s, const char *name) {
-    for (size_t i = 0; i < s->n_zones; i++)
-        if (strcmp(s->zones[i], name) == 0)
-            return (int)i;
-    return -1;
-}
-
 void rp_tuning_defaults(struct rp_tuning *t) {
     static const char *const heuristics[] = {"ESW-CP", "ESW-SM", "ESW-BF"};
     *t = (struct rp_tuning){.round_period_s = 10,
--- a/src/settings.h
+++ b/src/settings.h
@@ -74,6 +74,5 @@
 void rp_settings_free(struct rp_settings *s);
 /* The team's place in the list, or -1. */
 int rp_settings_team(const struct rp_settings *s, const char *name);
-int rp_settings_zone(const struct rp_settings *s, const char *name);
 
 #endif
--- a/src/workers.c
+++ b/src/workers.c
@@ -148,6 +148,8 @@
     if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
         job->n_running++;
         place->running = rp_loop_now(w->loop);
+        rp_debug("task %s/%u runs on %s, %.1fs after its start", job->spec.id, t->task, m->name,
+                 rp_ts_since(place->running, place->since));
     } else if (t->state != RP_TASK_RUNNING && place->task_state == RP_TASK_RUNNING) {
         job->n_running--;
     }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -20,6 +20,31 @@
     sim_submit(s, 15, "sweep", 2, 1, 200, 40); /* ends by its cancellation only */
 }
 
+struct kept_answer {
+    struct rp_request req;
+    int status;
+    char body[8192];
+};
+
+static void keep_answer(struct rp_request *req, int status, const char *body, int retry_after) {
+    struct kept_answer *a = (struct kept_answer *)(void *)req;
+    (void)retry_after;
+    a->status = status;
+    snprintf(a->body, sizeof a->body, "%s", body);
+}
+
+static void check_status_page(struct sim *s) {
+    struct kept_answer a = {
+        .req = {.method = "GET", .target = "/status", .body = "", .respond = keep_answer}};
+    rp_node_peer_request(s->nodes[sim_leader(s)].node, &a.req);
+    json_t *v = json_loads(a.body, 0, NULL);
+    assert_int_equal(a.status, 200);
+    assert_string_equal(json_string_value(json_object_get(v, "state")), "leading");
+    assert_true(json_integer_value(json_object_get(v, "starts")) >= 100);
+    assert_true(json_is_object(json_object_get(json_object_get(v, "latencies"), "submit_s")));
+    json_decref(v);
+}
+
 static void quiet_day(void **state) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(1, &none, SIM_SOUND);
@@ -30,6 +55,7 @@
     assert_string_equal(s->broken, "");
     assert_true(sim_all_over(s));
     assert_true(s->n_starts >= 120);
+    check_status_page(s);
     sim_free(s);
 }
 
