Cheaper rounds under overload, whose distance grows with their cost

Sorting is no longer quadratic, machines without room are passed over before their ends are summed, and rounds on news take at most 0.35 of the node's share.

--- a/src/node.c
+++ b/src/node.c
@@ -7,8 +7,8 @@
 #include "wire.h"
 
 #define SUMMARY_S 2.0
-#define ROUND_REST 4.0  /* times a round's own time until the next that news call for */
-#define ROUND_GAP_S 0.1 /* rounds that news call for keep this distance */
+#define ROUND_SHARE 0.35 /* of the processor time this node has, for rounds that news call for */
+#define ROUND_GAP_S 0.1  /* rounds that news call for keep this distance */
 #define PATH_SUMMARY "/peer/summary"
 #define PATH_HEALTH "/peer/health"
 #define PATH_STATUS "/status"
@@ -184,7 +184,7 @@
         return;
     /* Rounds that take long keep a longer distance, and find more to do in one. */
     double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
-    double gap = n->round.took_s * ROUND_REST;
+    double gap = n->round.took_s / (ROUND_SHARE * fmin(1, n->settings->cpu_share));
     gap = gap > ROUND_GAP_S ? gap : ROUND_GAP_S;
     if (since >= gap) {
         /* Before the report that brought the news is answered: its answer carries the starts. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -53,12 +53,18 @@
     bool used;
 };
 
+struct sorted {
+    size_t item;
+    int rank; /* before the key */
+    double key;
+};
+
 struct run {
     const struct rp_plan_input *in;
     struct rp_plan *plan;
     struct slot *slots; /* machines, then new ones */
     size_t *group_order, *machine_order;
-    double *key;
+    struct sorted *sorted;
     double *cpus_left, *gpus_left;
     double queued_s[RP_TYPES_MAX]; /* work given to a type's machines, and left to them */
 };
@@ -172,14 +178,19 @@
     return 0;
 }
 
-/* Insertion by key, stable: inputs are short and nearly in order. */
-static void sort_by(size_t *order, const double *key, size_t n) {
-    for (size_t i = 1; i < n; i++) {
-        size_t item = order[i], at = i;
-        for (; at > 0 && key[order[at - 1]] > key[item] + EPS; at--)
-            order[at] = order[at - 1];
-        order[at] = item;
-    }
+static int by_rank_and_key(const void *a, const void *b) {
+    const struct sorted *x = a, *y = b;
+    if (x->rank != y->rank)
+        return x->rank < y->rank ? -1 : 1;
+    if (x->key != y->key)
+        return x->key < y->key ? -1 : 1;
+    return x->item < y->item ? -1 : x->item > y->item;
+}
+
+static void sort_into(size_t *order, struct sorted *sorted, size_t n) {
+    qsort(sorted, n, sizeof *sorted, by_rank_and_key);
+    for (size_t i = 0; i < n; i++)
+        order[i] = sorted[i].item;
 }
 
 static bool allowed(const struct rp_plan_group *g, int type, int zone, bool spot);
@@ -205,16 +216,14 @@
     for (size_t i = 0; i < r->in->n_machines; i++)
         take(&fleet, &r->in->machines[i].capacity, -1);
     for (size_t i = 0; i < n; i++) {
-        r->group_order[i] = i;
-        r->key[i] = group_key(&r->in->groups[i], order, i, &fleet);
+        const struct rp_plan_group *g = &r->in->groups[i];
+        double key = group_key(g, order, i, &fleet);
         if (order == RP_ESW)
-            r->key[i] += ESW_FETCH * fetch_ahead_s(r, &r->in->groups[i]);
+            key += ESW_FETCH * fetch_ahead_s(r, g);
+        /* Priority comes before every order: work never waits for work of a lower priority. */
+        r->sorted[i] = (struct sorted){.item = i, .rank = -(int)g->priority, .key = key};
     }
-    sort_by(r->group_order, r->key, n);
-    /* Priority comes before every order: work never waits for work of a lower priority. */
-    for (size_t i = 0; i < n; i++)
-        r->key[i] = -(double)r->in->groups[i].priority;
-    sort_by(r->group_order, r->key, n);
+    sort_into(r->group_order, r->sorted, n);
 }
 
 static void sort_machines(struct run *r, enum rp_machine_order order) {
@@ -223,12 +232,11 @@
     if (rng)
         gsl_rng_set(rng, r->in->seed);
     for (size_t i = 0; i < n; i++) {
-        r->machine_order[i] = i;
-        r->key[i] = order == RP_RND && !rng
-                        ? 0
-                        : machine_key(&r->in->machines[i], order, r->in->unit_s, rng);
+        bool no_luck = order == RP_RND && !rng;
+        double key = no_luck ? 0 : machine_key(&r->in->machines[i], order, r->in->unit_s, rng);
+        r->sorted[i] = (struct sorted){.item = i, .key = key};
     }
-    sort_by(r->machine_order, r->key, n);
+    sort_into(r->machine_order, r->sorted, n);
     if (rng)
         gsl_rng_free(rng);
 }
@@ -354,7 +362,8 @@
     for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
         size_t at = r->machine_order[i];
         const struct rp_plan_machine *m = &r->in->machines[at];
-        if (g->has_image && g->has_image[at] &&
+        /* The cheap look first: under overload nearly no machine has any room left. */
+        if (g->has_image && g->has_image[at] && fits(&g->each, &r->slots[at].later, 1) &&
             rp_plan_fits_after(m, &g->each) < HOLDER_SHARE * fetch_s(g, m->fetch_gb_per_s, false))
             try_machine(r, pl, at, true);
     }
@@ -600,10 +609,11 @@
     r.slots = calloc(in->n_machines + in->new_max + 1, sizeof *r.slots);
     r.group_order = calloc(in->n_groups + 1, sizeof(size_t));
     r.machine_order = calloc(in->n_machines + 1, sizeof(size_t));
-    r.key = calloc(most + 1, sizeof(double));
+    r.sorted = calloc(most + 1, sizeof *r.sorted);
     r.cpus_left = calloc(in->n_teams + 1, sizeof(double));
     r.gpus_left = calloc(in->n_teams + 1, sizeof(double));
-    if (!r.slots || !r.group_order || !r.machine_order || !r.key || !r.cpus_left || !r.gpus_left) {
+    if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.cpus_left ||
+        !r.gpus_left) {
         out->failed = true;
         goto out;
     }
@@ -624,7 +634,7 @@
     free(r.slots);
     free(r.group_order);
     free(r.machine_order);
-    free(r.key);
+    free(r.sorted);
     free(r.cpus_left);
     free(r.gpus_left);
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -165,6 +165,7 @@
     s->state_txn_ops = (size_t)need_number(r, state, "params.state", "txn_ops", 2, 1e6);
     s->cloud_rps = need_number(r, cloud, "params.cloud", "rps", 0.01, 1e6);
     s->list_lag_s = need_number(r, cloud, "params.cloud", "list_lag_s", 0, 3600);
+    s->cpu_share = need_number(r, limits, "params.machine_limits", "cpu_share", 0.001, 1e6);
     s->memory_mb = need_number(r, limits, "params.machine_limits", "mem_mb", 8, 1e9);
     s->max_connections =
         (size_t)need_number(r, limits, "params.machine_limits", "max_connections", 32, 1e9);
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,7 +58,7 @@
     double state_rps, state_write_rps, state_value_kb;
     size_t state_txn_ops;
     double cloud_rps, list_lag_s;
-    double memory_mb;
+    double memory_mb, cpu_share;
     size_t max_connections;
     struct rp_tuning tuning;
 };
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -67,7 +67,8 @@
     "\"params\":{\"nodes\":3,\"zones\":[\"a\"],\"teams\":[],\"objectives\":[{\"kind\":\"new\"}],"
     "\"workers\":{\"report_s\":2,\"lease_s\":%g,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":"
     "%g},\"state\":{\"rps\":200,\"write_rps\":20,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":"
-    "5,\"list_lag_s\":3},\"machine_limits\":{\"mem_mb\":%s,\"max_connections\":800}}}";
+    "5,\"list_lag_s\":3},\"machine_limits\":{\"cpu_share\":0.1,\"mem_mb\":%s,\"max_connections\":"
+    "800}}}";
 
 static int read_platform(double lease, double cancel, const char *memory, struct rp_settings *s) {
     char text[2048];
