--- a/src/plan.c
+++ b/src/plan.c
@@ -8,9 +8,11 @@
 #define EPS 1e-9
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
-#define ESW_FETCH 2.0    /* seconds of slack that a second of fetching weighs */
-#define ESW_LONG 0.75    /* of its run time that a job is drawn forward */
-#define ESW_WEIGHT 6.0   /* seconds of slack that a second of the whole fleet's work weighs */
+/* Work with fewer machines to choose from goes ahead of work that may use spot machines as well. */
+#define ESW_FEW 60.0
+#define ESW_FETCH 2.0  /* seconds of slack that a second of fetching weighs */
+#define ESW_LONG 0.75  /* of its run time that a job is drawn forward */
+#define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
                                         "STJF", "EDF", "SRW", "ESW"};
@@ -219,7 +221,7 @@
         const struct rp_plan_group *g = &r->in->groups[i];
         double key = group_key(g, order, i, &fleet);
         if (order == RP_ESW)
-            key += ESW_FETCH * fetch_ahead_s(r, g);
+            key += ESW_FETCH * fetch_ahead_s(r, g) - (g->spot ? 0 : ESW_FEW);
         /* Priority comes before every order: work never waits for work of a lower priority. */
         r->sorted[i] = (struct sorted){.item = i, .rank = -(int)g->priority, .key = key};
     }
