--- a/src/state_client.c
+++ b/src/state_client.c
@@ -7,7 +7,7 @@
 #include "wire.h"
 
 #define ANSWER_S 1.5      /* an answer takes milliseconds, now and then a few hundred */
-#define QUEUE_USERS_S 0.8 /* how long a request may wait here for its budget */
+#define QUEUE_USERS_S 0.3 /* how long a request may wait here for its budget */
 #define QUEUE_LEADER_S 4.0
 #define TRIES_429 3
 
