A gang of one task isn't bound to try zones one after the other

Cause: one_zone made the planner look for a gang's machine zone by zone, so an image in another zone was not seen; and spot machines counted as waited for by work that can't use them.

--- a/src/plan.c
+++ b/src/plan.c
@@ -296,6 +296,11 @@
                                     : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].type;
 }
 
+static bool slot_spot(const struct run *r, size_t slot) {
+    return slot < r->in->n_machines ? r->in->machines[slot].spot
+                                    : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].spot;
+}
+
 static const struct rp_resources *slot_capacity(const struct run *r, size_t slot) {
     return slot < r->in->n_machines
                ? &r->in->machines[slot].capacity
@@ -491,7 +496,7 @@
         return false;
     for (size_t i = 0; i < r->in->n_machines + r->plan->n_fresh; i++) {
         int type = slot_type(r, i);
-        if (!(g->types >> type & 1) || !(g->zones >> slot_zone(r, i) & 1))
+        if (!allowed(g, type, slot_zone(r, i), slot_spot(r, i)))
             continue;
         machines++;
         part = rp_plan_part(&g->each, slot_capacity(r, i));
--- a/src/round.c
+++ b/src/round.c
@@ -334,8 +334,8 @@
                                 .team = job->team,
                                 .types = allowed_types(r, spec),
                                 .spot = spec->spot,
-                                .one_zone = spec->one_zone,
-                                .spread = spec->spread,
+                                .one_zone = spec->one_zone && spec->n_tasks > 1,
+                                .spread = spec->spread && spec->n_tasks > 1,
                                 .fixed_zone = -1,
                                 .spread_max = (spec->n_tasks + 1) / 2};
     g->slack_s = slack(r, job, g);
