--- a/src/fleet.h
+++ b/src/fleet.h
@@ -31,7 +31,7 @@
     int type, zone;
     bool spot;
     struct timespec until;
-    double pause_s;
+    double pause_s; /* grows while the kind goes on being refused */
 };
 #define RP_REFUSALS_MAX 256
 #define RP_GONE_KEPT 512
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -54,10 +54,7 @@
 /* ---- the table ---- */
 
 static size_t bucket_of(const char *id) {
-    uint32_t h = 2166136261u;
-    for (; *id; id++)
-        h = (h ^ (unsigned char)*id) * 16777619u;
-    return h % RP_JOBS_BUCKETS;
+    return (size_t)(rp_text_hash(id) % RP_JOBS_BUCKETS);
 }
 
 struct rp_job *rp_jobs_find(const struct rp_jobs *t, const char *id) {
--- a/src/model.h
+++ b/src/model.h
@@ -53,6 +53,14 @@
     size_t n_zones;
 };
 
+/* FNV-1a. */
+static inline uint64_t rp_text_hash(const char *text) {
+    uint64_t h = 14695981039346656037u;
+    for (; *text; text++)
+        h = (h ^ (unsigned char)*text) * 1099511628211u;
+    return h;
+}
+
 enum rp_task_state {
     RP_TASK_FETCHING,
     RP_TASK_WAITING,
--- a/src/picture.c
+++ b/src/picture.c
@@ -333,15 +333,20 @@
         m->images[oldest] = m->images[--m->n_images];
     }
     struct rp_image *entry = &m->images[m->n_images++];
+    entry->hash = rp_text_hash(image);
     strncpy(entry->name, image, sizeof entry->name - 1);
     entry->name[sizeof entry->name - 1] = '\0';
     entry->gb = gb;
     entry->used = now;
 }
 
-bool rp_machine_has_image(const struct rp_machine *m, const char *image) {
+bool rp_machine_has_hashed(const struct rp_machine *m, const char *image, uint64_t hash) {
     for (size_t i = 0; i < m->n_images; i++)
-        if (strcmp(m->images[i].name, image) == 0)
+        if (m->images[i].hash == hash && strcmp(m->images[i].name, image) == 0)
             return true;
     return false;
 }
+
+bool rp_machine_has_image(const struct rp_machine *m, const char *image) {
+    return rp_machine_has_hashed(m, image, rp_text_hash(image));
+}
--- a/src/picture.h
+++ b/src/picture.h
@@ -38,7 +38,7 @@
     bool marked; /* scratch of a report's reading */
 };
 
-#define RP_IMAGES_KEPT 16
+#define RP_IMAGES_KEPT 32
 #define RP_FOREIGN_KEPT 256
 
 /* A task on a machine whose job this leader doesn't know (any more): stopped and forgotten. */
@@ -50,6 +50,7 @@
 };
 
 struct rp_image {
+    uint64_t hash; /* of the name: most comparisons end here */
     char name[RP_TEXT_MAX];
     double gb;
     struct timespec used;
@@ -144,5 +145,7 @@
 void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image,
                            double gb);
 bool rp_machine_has_image(const struct rp_machine *m, const char *image);
+/* The same, for a name whose hash is at hand. */
+bool rp_machine_has_hashed(const struct rp_machine *m, const char *image, uint64_t hash);
 
 #endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -61,11 +61,25 @@
     double key;
 };
 
+/* The machines of one type, zone and kind together. */
+struct pool {
+    int type, zone;
+    bool spot;
+    double machines, work_s;
+    const struct rp_resources *capacity;
+};
+
 struct run {
     const struct rp_plan_input *in;
     struct rp_plan *plan;
     struct slot *slots; /* machines, then new ones */
     size_t *group_order, *machine_order;
+    size_t n_order; /* machines in the order: those with room for some group */
+    /* By machine type, of each resource: what the least demanding group's task needs. */
+    struct rp_resources least[RP_TYPES_MAX];
+    bool filled; /* rooms have been taken since the order was last thinned out */
+    struct pool *pools;
+    size_t n_pools;
     struct sorted *sorted;
     double *cpus_left, *gpus_left;
     double queued_s[RP_TYPES_MAX]; /* work given to a type's machines, and left to them */
@@ -200,12 +214,13 @@
 /* What a fetch would delay the group by: nothing if a machine with room holds its image. */
 static double fetch_ahead_s(const struct run *r, const struct rp_plan_group *g) {
     double fetch = 0;
-    for (size_t i = 0; i < r->in->n_machines; i++) {
-        const struct rp_plan_machine *m = &r->in->machines[i];
+    for (size_t i = 0; i < r->n_order; i++) {
+        size_t at = r->machine_order[i];
+        const struct rp_plan_machine *m = &r->in->machines[at];
         if (!allowed(g, m->type, m->zone, m->spot) || m->fetch_gb_per_s <= 0 ||
             !fits(&g->each, &m->room, 1))
             continue;
-        if (g->has_image && g->has_image[i])
+        if (g->has_image && g->has_image[at])
             return 0;
         fetch = fmax(fetch, g->image_gb / m->fetch_gb_per_s);
     }
@@ -228,17 +243,51 @@
     sort_into(r->group_order, r->sorted, n);
 }
 
+/* A machine that holds not even the least demanding task is looked at by no group. */
+static bool of_use(const struct run *r, size_t machine) {
+    return fits(&r->least[r->in->machines[machine].type], &r->slots[machine].later, 1) > 0;
+}
+
+static void thin_out(struct run *r) {
+    size_t kept = 0;
+    if (!r->filled)
+        return;
+    for (size_t i = 0; i < r->n_order; i++)
+        if (of_use(r, r->machine_order[i]))
+            r->machine_order[kept++] = r->machine_order[i];
+    r->n_order = kept;
+    r->filled = false;
+}
+
+static void find_least(struct run *r) {
+    for (int t = 0; t < RP_TYPES_MAX; t++) {
+        struct rp_resources *least = &r->least[t];
+        *least = (struct rp_resources){INFINITY, INFINITY, INFINITY};
+        for (size_t i = 0; i < r->in->n_groups; i++) {
+            const struct rp_plan_group *g = &r->in->groups[i];
+            if (!(g->types >> t & 1))
+                continue;
+            least->cpus = fmin(least->cpus, g->each.cpus);
+            least->gpus = fmin(least->gpus, g->each.gpus);
+            least->memory_gb = fmin(least->memory_gb, g->each.memory_gb);
+        }
+    }
+}
+
 static void sort_machines(struct run *r, enum rp_machine_order order) {
-    size_t n = r->in->n_machines;
+    size_t n = 0;
     gsl_rng *rng = order == RP_RND ? gsl_rng_alloc(gsl_rng_taus2) : NULL;
     if (rng)
         gsl_rng_set(rng, r->in->seed);
-    for (size_t i = 0; i < n; i++) {
+    for (size_t i = 0; i < r->in->n_machines; i++) {
         bool no_luck = order == RP_RND && !rng;
+        if (!of_use(r, i))
+            continue;
         double key = no_luck ? 0 : machine_key(&r->in->machines[i], order, r->in->unit_s, rng);
-        r->sorted[i] = (struct sorted){.item = i, .key = key};
+        r->sorted[n++] = (struct sorted){.item = i, .key = key};
     }
     sort_into(r->machine_order, r->sorted, n);
+    r->n_order = n;
     if (rng)
         gsl_rng_free(rng);
 }
@@ -296,11 +345,6 @@
                                     : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].type;
 }
 
-static bool slot_spot(const struct run *r, size_t slot) {
-    return slot < r->in->n_machines ? r->in->machines[slot].spot
-                                    : r->in->kinds[r->plan->fresh[slot - r->in->n_machines]].spot;
-}
-
 static const struct rp_resources *slot_capacity(const struct run *r, size_t slot) {
     return slot < r->in->n_machines
                ? &r->in->machines[slot].capacity
@@ -318,6 +362,7 @@
         take(&slot->room, &pl->g->each, count);
     slot->end_s = fmax(slot->end_s, end_s);
     slot->used = true;
+    r->filled = true;
     int type = slot_type(r, at);
     r->queued_s[type] += count * pl->g->run_s * rp_plan_part(&pl->g->each, slot_capacity(r, at));
     pl->left -= count;
@@ -366,7 +411,7 @@
     /* Urgent work has room made for it rather than wait (measured: it lost by waiting). */
     if (g->priority >= RP_HIGH)
         return;
-    for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
+    for (size_t i = 0; i < r->n_order && pl->left > 0; i++) {
         size_t at = r->machine_order[i];
         const struct rp_plan_machine *m = &r->in->machines[at];
         /* The cheap look first: under overload nearly no machine has any room left. */
@@ -381,7 +426,7 @@
     for (int with_image = 1; with_image >= 0; with_image--) {
         if (!later && !with_image)
             try_image_holders(r, pl);
-        for (size_t i = 0; i < r->in->n_machines && pl->left > 0; i++) {
+        for (size_t i = 0; i < r->n_order && pl->left > 0; i++) {
             size_t at = r->machine_order[i];
             bool has = pl->g->has_image && pl->g->has_image[at];
             if (has == (with_image == 1))
@@ -494,21 +539,26 @@
     uint32_t types = 0;
     if (g->slack_s >= RP_NO_AIM_S || WAIT_SHARE <= 0)
         return false;
-    for (size_t i = 0; i < r->in->n_machines + r->plan->n_fresh; i++) {
-        int type = slot_type(r, i);
-        if (!allowed(g, type, slot_zone(r, i), slot_spot(r, i)))
+    for (size_t i = 0; i < r->n_pools; i++) {
+        const struct pool *pool = &r->pools[i];
+        if (!allowed(g, pool->type, pool->zone, pool->spot))
+            continue;
+        machines += pool->machines;
+        work += pool->work_s;
+        part = rp_plan_part(&g->each, pool->capacity);
+        types |= 1u << pool->type;
+    }
+    for (size_t i = 0; i < r->plan->n_fresh; i++) {
+        const struct rp_plan_kind *k = &r->in->kinds[r->plan->fresh[i]];
+        if (!allowed(g, k->type, k->zone, k->spot))
             continue;
         machines++;
-        part = rp_plan_part(&g->each, slot_capacity(r, i));
-        if (i < r->in->n_machines)
-            work += r->in->machines[i].work_s +
-                    (r->in->machines[i].room.cpus > 0 || r->in->machines[i].n_ends > 0
-                         ? 0
-                         : r->in->machines[i].wait_s);
-        if (!(types >> type & 1))
-            work += r->queued_s[type];
-        types |= 1u << type;
+        part = rp_plan_part(&g->each, &k->capacity);
+        types |= 1u << k->type;
     }
+    for (int t = 0; t < RP_TYPES_MAX; t++)
+        if (types >> t & 1)
+            work += r->queued_s[t];
     double own = pl->left * part * g->run_s;
     if (machines == 0 || (work + own) / machines > WAIT_SHARE * g->slack_s)
         return false;
@@ -565,6 +615,7 @@
 
 static void place_group(struct run *r, size_t index) {
     struct placing pl;
+    thin_out(r);
     begin(r, &pl, index);
     const struct rp_plan_group *g = pl.g;
     uint32_t want = quota(r, g);
@@ -609,6 +660,25 @@
                                       r->slots[r->in->n_machines + i].end_s, r->in->unit_s);
 }
 
+/* Machines at hand, with the work on them; one that still boots has its boot to do. */
+static void fill_pools(struct run *r) {
+    for (size_t i = 0; i < r->in->n_machines; i++) {
+        const struct rp_plan_machine *m = &r->in->machines[i];
+        struct pool *pool = r->pools, *end = r->pools + r->n_pools;
+        while (pool < end &&
+               !(pool->type == m->type && pool->zone == m->zone && pool->spot == m->spot))
+            pool++;
+        if (pool == end) {
+            r->n_pools++;
+            *pool = (struct pool){
+                .type = m->type, .zone = m->zone, .spot = m->spot, .capacity = &m->capacity};
+        }
+        bool up = m->room.cpus > 0 || m->n_ends > 0;
+        pool->machines++;
+        pool->work_s += m->work_s + (up ? 0 : m->wait_s);
+    }
+}
+
 void rp_plan_by(const struct rp_plan_input *in, struct rp_heuristic h, struct rp_plan *out) {
     size_t most = in->n_groups > in->n_machines ? in->n_groups : in->n_machines;
     struct run r = {.in = in, .plan = out};
@@ -617,9 +687,10 @@
     r.group_order = calloc(in->n_groups + 1, sizeof(size_t));
     r.machine_order = calloc(in->n_machines + 1, sizeof(size_t));
     r.sorted = calloc(most + 1, sizeof *r.sorted);
+    r.pools = calloc(in->n_machines + 1, sizeof *r.pools);
     r.cpus_left = calloc(in->n_teams + 1, sizeof(double));
     r.gpus_left = calloc(in->n_teams + 1, sizeof(double));
-    if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.cpus_left ||
+    if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.pools || !r.cpus_left ||
         !r.gpus_left) {
         out->failed = true;
         goto out;
@@ -632,8 +703,10 @@
         r.cpus_left[i] = in->teams[i].cpus_left;
         r.gpus_left[i] = in->teams[i].gpus_left;
     }
-    sort_groups(&r, h.jobs);
+    find_least(&r);
+    fill_pools(&r);
     sort_machines(&r, h.machines);
+    sort_groups(&r, h.jobs);
     for (size_t i = 0; i < in->n_groups && !out->failed; i++)
         place_group(&r, r.group_order[i]);
     price_plan(&r);
@@ -642,6 +715,7 @@
     free(r.group_order);
     free(r.machine_order);
     free(r.sorted);
+    free(r.pools);
     free(r.cpus_left);
     free(r.gpus_left);
 }
--- a/src/round.c
+++ b/src/round.c
@@ -354,9 +354,11 @@
     x->has_image = calloc(x->in.n_groups * n + 1, sizeof(bool));
     for (size_t g = 0; x->has_image && g < x->in.n_groups; g++) {
         const struct rp_job *job = x->groups[g].ref;
+        uint64_t hash = rp_text_hash(job->spec.image);
         for (size_t m = 0; m < n; m++)
             if (x->machines[m].ref)
-                x->has_image[g * n + m] = rp_machine_has_image(x->machines[m].ref, job->spec.image);
+                x->has_image[g * n + m] =
+                    rp_machine_has_hashed(x->machines[m].ref, job->spec.image, hash);
         x->groups[g].has_image = &x->has_image[g * n];
     }
 }
@@ -460,12 +462,15 @@
 static void apply_returns(struct rp_round *r, const struct input *x, const struct rp_plan *plan,
                           struct timespec now) {
     const struct rp_tuning *t = &r->settings->tuning;
+    bool *wanted = calloc(x->in.n_machines + 1, sizeof *wanted);
+    if (!wanted)
+        return;
+    for (size_t p = 0; p < plan->n_puts; p++)
+        if (plan->puts[p].machine < x->in.n_machines)
+            wanted[plan->puts[p].machine] = true;
     for (size_t i = 0; i < x->in.n_machines; i++) {
         struct rp_machine *m = x->machines[i].ref;
-        bool wanted = false;
-        for (size_t p = 0; p < plan->n_puts; p++)
-            wanted |= plan->puts[p].machine == i;
-        if (!m || wanted || m->n_places > 0 || m->n_foreign > 0 || m->state != RP_MACHINE_UP)
+        if (!m || wanted[i] || m->n_places > 0 || m->n_foreign > 0 || m->state != RP_MACHINE_UP)
             continue;
         double age = rp_ts_since(now, m->rented);
         double into = fmod(age, t->billing_unit_s);
@@ -474,6 +479,7 @@
             into >= t->billing_unit_s - t->return_margin_s)
             rp_fleet_return(r->fleet, m, "idle near its unit's end");
     }
+    free(wanted);
 }
 
 /* ---- what no plan does: gangs that lost a task, room for higher priorities ---- */
