--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #define DELETE_MAX 100
 #define NAMES_MAX 64 /* machines of a rental: at most 50 are asked for at once */
 #define NEWS_MAX_S 9.0
+#define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 16.0
 #define ISOLATED_SHARE 0.6 /* of the machines, silent at the same time */
@@ -273,22 +275,30 @@
     rp_state_txn(f->state, RP_SHARE_LEADER, txn, rental_written, r);
 }
 
+static struct rp_refusal *refusal_find(const struct rp_fleet *f, int type, int zone, bool spot) {
+    for (size_t i = 0; i < f->n_refusals; i++)
+        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
+            f->refusals[i].spot == spot)
+            return (struct rp_refusal *)&f->refusals[i];
+    return NULL;
+}
+
+/* Each try costs a call to the cloud and two changes of the state service, and until it is answered
+ * its machines hold tasks: a kind that goes on being refused is tried ever more rarely. */
 static void refuse(struct rp_fleet *f, const struct rp_rental *rental) {
     int type = type_index(f->catalog, rental->record.type);
     int zone = zone_index(f->catalog, rental->record.zone);
+    double base = f->settings->tuning.refused_pause_s;
     struct timespec now = rp_loop_now(f->loop);
-    struct rp_refusal *found = NULL;
-    for (size_t i = 0; i < f->n_refusals; i++)
-        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
-            f->refusals[i].spot == rental->record.spot)
-            found = &f->refusals[i];
+    struct rp_refusal *found = refusal_find(f, type, zone, rental->record.spot);
     if (!found) {
         if (f->n_refusals == RP_REFUSALS_MAX)
             return;
         found = &f->refusals[f->n_refusals++];
         *found = (struct rp_refusal){.type = type, .zone = zone, .spot = rental->record.spot};
     }
-    found->pause_s = f->settings->tuning.refused_pause_s;
+    bool again = found->pause_s > 0 && rp_ts_since(now, found->until) < found->pause_s;
+    found->pause_s = again ? fmin(found->pause_s * 2, base * REFUSED_PAUSES) : base;
     found->until = rp_ts_after(now, found->pause_s);
     f->n_refused++;
     rp_debug("kind %s/%s%s refused for lack of capacity", rental->record.type, rental->record.zone,
@@ -296,12 +306,17 @@
 }
 
 bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot) {
-    struct timespec now = rp_loop_now(f->loop);
-    for (size_t i = 0; i < f->n_refusals; i++)
-        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
-            f->refusals[i].spot == spot)
-            return !rp_ts_reached(now, f->refusals[i].until);
-    return false;
+    const struct rp_refusal *found = refusal_find(f, type, zone, spot);
+    return found && !rp_ts_reached(rp_loop_now(f->loop), found->until);
+}
+
+/* A machine of the kind is gone: the cloud may have one again. */
+static void refusal_over(struct rp_fleet *f, const struct rp_machine *m) {
+    struct rp_refusal *found = refusal_find(f, m->type, m->zone, m->spot);
+    if (found)
+        found->pause_s = 0;
+    if (found)
+        found->until = rp_loop_now(f->loop);
 }
 
 static void rented(struct rp_fleet *f, struct rp_rental *rental, const struct rp_answer *answer) {
@@ -449,6 +464,7 @@
 /* The machine is certainly gone. */
 static void machine_gone(struct rp_fleet *f, struct rp_machine *m) {
     struct rp_rental *rental = m->rental;
+    refusal_over(f, m);
     snprintf(f->gone[f->n_gone++ % RP_GONE_KEPT], RP_TEXT_MAX, "%s", m->name);
     rp_machine_remove(f->picture, m);
     if (!rental)
