Moore's rule when not all jobs can be in time; one request a kind at a time

Cause: under a load that lasts, jobs about to be late took the room of those that could still be in time, and only the 64 oldest jobs were planned at all; each round asked again for kinds whose answer was still out. Now the largest arrays are given up first (they begin after 100 s with one task), smaller work goes first while anything is given up, all waiting jobs are planned.

--- a/src/plan.c
+++ b/src/plan.c
@@ -12,6 +12,7 @@
 #define ESW_FEW 60.0
 #define ESW_FETCH 2.0  /* seconds of slack that a second of fetching weighs */
 #define ESW_LONG 0.75  /* of its run time that a job is drawn forward */
+#define ESW_SHORT 5.0  /* how much more it weighs when not all jobs can be in time */
 #define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
@@ -77,7 +78,9 @@
     size_t n_order; /* machines in the order: those with room for some group */
     /* By machine type, of each resource: what the least demanding group's task needs. */
     struct rp_resources least[RP_TYPES_MAX];
-    bool filled; /* rooms have been taken since the order was last thinned out */
+    bool short_of_room[2]; /* work without GPUs, and with: not all can be in time */
+    bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
+    bool filled;    /* rooms have been taken since the order was last thinned out */
     struct pool *pools;
     size_t n_pools;
     struct sorted *sorted;
@@ -126,7 +129,7 @@
 }
 
 static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place,
-                        const struct rp_resources *fleet) {
+                        const struct rp_resources *fleet, bool short_of_room) {
     double size = g->each.cpus + 8 * g->each.gpus + g->each.memory_gb / 8;
     switch (order) {
     case RP_FCFS:
@@ -147,7 +150,8 @@
         return size * g->n * g->run_s;
     case RP_ESW:
         return g->slack_s - ESW_LONG * g->run_s +
-               ESW_WEIGHT * g->n * g->run_s * fleet_share(&g->each, fleet);
+               ESW_WEIGHT * (short_of_room ? ESW_SHORT : 1) * g->n * g->run_s *
+                   fleet_share(&g->each, fleet);
     }
     return 0;
 }
@@ -227,18 +231,104 @@
     return fetch;
 }
 
+/* ---- who can be in time, when not all can ---- */
+
+static bool on_gpus(const struct rp_plan_group *g) {
+    return g->each.gpus > 0;
+}
+
+/* What the machines can do in a second, and what is under way on them. */
+static void pool_load(const struct run *r, bool gpus, double *capacity, double *work) {
+    *capacity = *work = 0;
+    for (size_t i = 0; i < r->n_pools; i++) {
+        const struct pool *pool = &r->pools[i];
+        double each = gpus ? pool->capacity->gpus : pool->capacity->cpus;
+        if (!gpus && pool->capacity->gpus > 0)
+            continue;
+        *capacity += pool->machines * each;
+        *work += pool->work_s * each;
+    }
+}
+
+static double group_work(const struct rp_plan_group *g) {
+    return g->n * g->run_s * (on_gpus(g) ? g->each.gpus : g->each.cpus);
+}
+
+static int by_key(const void *a, const void *b) {
+    const struct sorted *x = a, *y = b;
+    return x->key < y->key ? -1 : x->key > y->key ? 1 : x->item < y->item ? -1 : x->item > y->item;
+}
+
+/* The largest of the first `n` groups in the order that isn't given up. Gangs never are: what a
+ * whole gang gains isn't told by its work, and they are few. */
+static const struct rp_plan_group *largest_kept(const struct run *r, size_t n) {
+    const struct rp_plan_group *largest = NULL;
+    for (size_t k = 0; k < n; k++) {
+        const struct rp_plan_group *g = &r->in->groups[r->sorted[k].item];
+        if (g->kind != RP_GANG && !r->given_up[r->sorted[k].item] &&
+            (!largest || group_work(g) > group_work(largest)))
+            largest = g;
+    }
+    return largest;
+}
+
+/* Moore's rule: in the order of due times, whenever the work taken so far can't be done by then,
+ * its largest job is given up. So the most jobs are in time; without it, under a load that lasts,
+ * those about to be late take the room of those that still can be in time, and all are late. */
+static void give_up(struct run *r, enum rp_priority priority, bool gpus, double capacity,
+                    double *work) {
+    size_t n = 0;
+    for (size_t i = 0; i < r->in->n_groups; i++) {
+        const struct rp_plan_group *g = &r->in->groups[i];
+        if (g->priority == priority && on_gpus(g) == gpus && g->slack_s < RP_NO_AIM_S)
+            r->sorted[n++] = (struct sorted){.item = i, .key = g->slack_s, .rank = 0};
+    }
+    qsort(r->sorted, n, sizeof *r->sorted, by_key);
+    for (size_t i = 0; i < n; i++) {
+        const struct rp_plan_group *g = &r->in->groups[r->sorted[i].item];
+        r->given_up[r->sorted[i].item] = g->late && g->kind != RP_GANG;
+        if (g->late)
+            continue;
+        *work += group_work(g);
+        if (*work <= capacity * g->slack_s)
+            continue;
+        const struct rp_plan_group *largest = largest_kept(r, i + 1);
+        if (!largest)
+            continue;
+        r->given_up[largest - r->in->groups] = true;
+        r->short_of_room[gpus] = true;
+        *work -= group_work(largest);
+    }
+}
+
+static void give_up_all(struct run *r) {
+    for (int gpus = 0; gpus < 2; gpus++) {
+        double capacity, work;
+        pool_load(r, gpus, &capacity, &work);
+        for (int p = RP_PRODUCTION; p >= RP_LOW && capacity > 0; p--)
+            give_up(r, (enum rp_priority)p, gpus, capacity, &work);
+    }
+}
+
+static int group_rank(const struct run *r, size_t group) {
+    const struct rp_plan_group *g = &r->in->groups[group];
+    /* Priority comes before every order: work never waits for work of a lower priority. */
+    return -3 * (int)g->priority + (g->begin ? 0 : r->given_up[group] ? 2 : 1);
+}
+
 static void sort_groups(struct run *r, enum rp_job_order order) {
     size_t n = r->in->n_groups;
     struct rp_resources fleet = {0};
     for (size_t i = 0; i < r->in->n_machines; i++)
         take(&fleet, &r->in->machines[i].capacity, -1);
+    if (order == RP_ESW)
+        give_up_all(r);
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
-        double key = group_key(g, order, i, &fleet);
+        double key = group_key(g, order, i, &fleet, r->short_of_room[on_gpus(g)]);
         if (order == RP_ESW)
             key += ESW_FETCH * fetch_ahead_s(r, g) - (g->spot ? 0 : ESW_FEW);
-        /* Priority comes before every order: work never waits for work of a lower priority. */
-        r->sorted[i] = (struct sorted){.item = i, .rank = -(int)g->priority, .key = key};
+        r->sorted[i] = (struct sorted){.item = i, .rank = group_rank(r, i), .key = key};
     }
     sort_into(r->group_order, r->sorted, n);
 }
@@ -687,11 +777,12 @@
     r.group_order = calloc(in->n_groups + 1, sizeof(size_t));
     r.machine_order = calloc(in->n_machines + 1, sizeof(size_t));
     r.sorted = calloc(most + 1, sizeof *r.sorted);
+    r.given_up = calloc(in->n_groups + 1, sizeof *r.given_up);
     r.pools = calloc(in->n_machines + 1, sizeof *r.pools);
     r.cpus_left = calloc(in->n_teams + 1, sizeof(double));
     r.gpus_left = calloc(in->n_teams + 1, sizeof(double));
-    if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.pools || !r.cpus_left ||
-        !r.gpus_left) {
+    if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.pools || !r.given_up ||
+        !r.cpus_left || !r.gpus_left) {
         out->failed = true;
         goto out;
     }
@@ -716,6 +807,7 @@
     free(r.machine_order);
     free(r.sorted);
     free(r.pools);
+    free(r.given_up);
     free(r.cpus_left);
     free(r.gpus_left);
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -79,6 +79,8 @@
     double image_gb;
     double age_s;
     double slack_s; /* until the job is late, large when it can't be */
+    bool late;      /* it can be in time for nothing any more */
+    bool begin;     /* a first task of a job that has waited long: it is not to wait for the rest */
     int team;
     uint32_t types, zones; /* bit sets of what is allowed */
     bool spot;
--- a/src/round.c
+++ b/src/round.c
@@ -14,8 +14,8 @@
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
-#define BATCH_MIN 64      /* jobs in a round; with more waiting, half of them */
-#define BATCH_MAX 512
+#define BATCH_MAX 512     /* jobs in a round */
+#define BEGIN_AFTER_S 100 /* a job that has waited so long has its first task started */
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
 static void tick(void *arg);
@@ -92,7 +92,10 @@
                     .type = (int)t,
                     .zone = (int)z,
                     .spot = spot,
-                    .refused = rp_fleet_refused(r->fleet, (int)t, (int)z, spot),
+                    /* One request about a kind at a time: until it is answered, nobody knows
+                     * whether there are more of it. */
+                    .refused = rp_fleet_refused(r->fleet, (int)t, (int)z, spot) ||
+                               rp_fleet_pending(r->fleet, (int)t, (int)z, spot) > 0,
                     .price = rp_fleet_price(c, (int)t, spot),
                     .boot_s = type->boot_s,
                     .fetch_gb_per_s = type->fetch_gb_per_s,
@@ -291,8 +294,7 @@
 }
 
 /* Time to spare until the first of the class's aims that the job can still meet. */
-static double slack(const struct rp_round *r, const struct rp_job *job,
-                    const struct rp_plan_group *g) {
+static double slack(const struct rp_round *r, const struct rp_job *job, struct rp_plan_group *g) {
     const struct rp_settings *s = r->settings;
     double best = RP_NO_AIM_S, latest = 0;
     for (size_t i = 0; i < s->n_objectives; i++) {
@@ -313,6 +315,7 @@
         return best;
     if (latest <= 0)
         return RP_NO_AIM_S;
+    g->late = true;
     /* A job that can be in time for nothing any more stands behind those that can, but with less
      * and less patience: it is not to wait for as long as others keep coming. */
     return fmax(0, LATE_SLACK_S - (g->age_s + g->run_s - latest));
@@ -363,21 +366,34 @@
     }
 }
 
+static void add_group(const struct rp_round *r, struct input *x, struct rp_job *job, size_t most,
+                      struct timespec now) {
+    uint32_t n = startable(job);
+    bool begun = job->n_done > 0 || job->n_counted > 0;
+    if (n == 0 || job->state != RP_JOB_OPEN || !rp_ts_reached(now, job->held_until))
+        return;
+    /* Large jobs that are given up so that more small ones are in time begin all the same: the
+     * users want the first task of every job within four minutes. */
+    if (!begun && n > 1 && job->spec.kind != RP_GANG && x->in.n_groups + 1 < most &&
+        rp_job_age_s(job, now) > BEGIN_AFTER_S) {
+        build_group(r, job, 1, &x->groups[x->in.n_groups], now);
+        x->groups[x->in.n_groups++].begin = true;
+        n--;
+    }
+    if (x->in.n_groups < most)
+        build_group(r, job, n, &x->groups[x->in.n_groups++], now);
+}
+
 static void build_groups(struct rp_round *r, struct input *x, struct timespec now) {
-    size_t most = r->jobs->n_jobs / 2;
-    most = most < BATCH_MIN ? BATCH_MIN : most > BATCH_MAX ? BATCH_MAX : most;
+    size_t most = r->jobs->n_jobs * 2 < BATCH_MAX ? r->jobs->n_jobs * 2 + 1 : BATCH_MAX;
     x->groups = calloc(most, sizeof *x->groups);
     if (!x->groups)
         return;
     /* Higher priorities first, so that a full batch never leaves them out. */
     for (int priority = RP_PRODUCTION; priority >= RP_LOW; priority--)
-        for (struct rp_job *job = r->jobs->first; job && x->in.n_groups < most; job = job->next) {
-            uint32_t n = startable(job);
-            if (n == 0 || job->state != RP_JOB_OPEN || (int)job->spec.priority != priority ||
-                !rp_ts_reached(now, job->held_until))
-                continue;
-            build_group(r, job, n, &x->groups[x->in.n_groups++], now);
-        }
+        for (struct rp_job *job = r->jobs->first; job && x->in.n_groups < most; job = job->next)
+            if ((int)job->spec.priority == priority)
+                add_group(r, x, job, most, now);
     x->in.groups = x->groups;
     build_images(x);
 }
