--- a/src/plan.c
+++ b/src/plan.c
@@ -10,8 +10,12 @@
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
 /* Work with fewer machines to choose from goes ahead of work that may use spot machines as well. */
 #define ESW_FEW 60.0
-#define ESW_FETCH 2.0  /* seconds of slack that a second of fetching weighs */
-#define ESW_LONG 0.75  /* of its run time that a job is drawn forward */
+#define ESW_FETCH 2.0 /* seconds of slack that a second of fetching weighs */
+#define ESW_LONG 0.75 /* of its run time that a job is drawn forward */
+/* Work is given up beyond so many times what can be done in time: estimates are rough, and the
+ * rougher the fewer machines they are spread over. */
+#define GIVE_UP_AT 1.5
+#define GIVE_UP_FEW 30.0
 #define ESW_SHORT 5.0  /* how much more it weighs when not all jobs can be in time */
 #define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
@@ -78,7 +82,6 @@
     size_t n_order; /* machines in the order: those with room for some group */
     /* By machine type, of each resource: what the least demanding group's task needs. */
     struct rp_resources least[RP_TYPES_MAX];
-    bool short_of_room[2]; /* work without GPUs, and with: not all can be in time */
     bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
     bool filled;    /* rooms have been taken since the order was last thinned out */
     struct pool *pools;
@@ -237,17 +240,21 @@
     return g->each.gpus > 0;
 }
 
-/* What the machines can do in a second, and what is under way on them. */
-static void pool_load(const struct run *r, bool gpus, double *capacity, double *work) {
+/* What the machines can do in a second, and what is under way on them; returns how many they are.
+ */
+static double pool_load(const struct run *r, bool gpus, double *capacity, double *work) {
+    double machines = 0;
     *capacity = *work = 0;
     for (size_t i = 0; i < r->n_pools; i++) {
         const struct pool *pool = &r->pools[i];
         double each = gpus ? pool->capacity->gpus : pool->capacity->cpus;
         if (!gpus && pool->capacity->gpus > 0)
             continue;
+        machines += pool->machines;
         *capacity += pool->machines * each;
         *work += pool->work_s * each;
     }
+    return machines;
 }
 
 static double group_work(const struct rp_plan_group *g) {
@@ -286,7 +293,6 @@
     qsort(r->sorted, n, sizeof *r->sorted, by_key);
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[r->sorted[i].item];
-        r->given_up[r->sorted[i].item] = g->late && g->kind != RP_GANG;
         if (g->late)
             continue;
         *work += group_work(g);
@@ -296,15 +302,20 @@
         if (!largest)
             continue;
         r->given_up[largest - r->in->groups] = true;
-        r->short_of_room[gpus] = true;
+        r->plan->short_of_room[gpus] = true;
         *work -= group_work(largest);
     }
+    for (size_t i = 0; i < n && r->plan->short_of_room[gpus]; i++)
+        if (r->in->groups[r->sorted[i].item].late)
+            r->given_up[r->sorted[i].item] = r->in->groups[r->sorted[i].item].kind != RP_GANG;
 }
 
 static void give_up_all(struct run *r) {
     for (int gpus = 0; gpus < 2; gpus++) {
         double capacity, work;
-        pool_load(r, gpus, &capacity, &work);
+        double machines = pool_load(r, gpus, &capacity, &work);
+        if (machines > 0)
+            capacity *= GIVE_UP_AT + GIVE_UP_FEW / machines;
         for (int p = RP_PRODUCTION; p >= RP_LOW && capacity > 0; p--)
             give_up(r, (enum rp_priority)p, gpus, capacity, &work);
     }
@@ -313,7 +324,9 @@
 static int group_rank(const struct run *r, size_t group) {
     const struct rp_plan_group *g = &r->in->groups[group];
     /* Priority comes before every order: work never waits for work of a lower priority. */
-    return -3 * (int)g->priority + (g->begin ? 0 : r->given_up[group] ? 2 : 1);
+    return -3 * (int)g->priority + (g->begin && r->plan->short_of_room[on_gpus(g)] ? 0
+                                    : r->given_up[group]                           ? 2
+                                                                                   : 1);
 }
 
 static void sort_groups(struct run *r, enum rp_job_order order) {
@@ -325,7 +338,7 @@
         give_up_all(r);
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
-        double key = group_key(g, order, i, &fleet, r->short_of_room[on_gpus(g)]);
+        double key = group_key(g, order, i, &fleet, r->plan->short_of_room[on_gpus(g)]);
         if (order == RP_ESW)
             key += ESW_FETCH * fetch_ahead_s(r, g) - (g->spot ? 0 : ESW_FEW);
         r->sorted[i] = (struct sorted){.item = i, .rank = group_rank(r, i), .key = key};
--- a/src/plan.h
+++ b/src/plan.h
@@ -123,9 +123,10 @@
     size_t *fresh; /* kinds of the new machines */
     size_t n_fresh, cap_fresh;
     uint32_t n_now, n_wait;
-    double left; /* work that found no place, weighed by priority */
-    double cost; /* formula (1) */
-    bool failed; /* out of memory */
+    bool short_of_room[2]; /* work without GPUs, and with: not all of it can be in time */
+    double left;           /* work that found no place, weighed by priority */
+    double cost;           /* formula (1) */
+    bool failed;           /* out of memory */
 };
 
 void rp_plan_free(struct rp_plan *plan);
--- a/src/round.c
+++ b/src/round.c
@@ -15,7 +15,8 @@
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define BATCH_MAX 512     /* jobs in a round */
-#define BEGIN_AFTER_S 100 /* a job that has waited so long has its first task started */
+#define ASKED_MAX 8       /* machines of a kind asked for, beyond which the answer is waited for */
+#define BEGIN_AFTER_S 160 /* a job that has waited so long has its first task started */
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
 
 static void tick(void *arg);
@@ -92,10 +93,9 @@
                     .type = (int)t,
                     .zone = (int)z,
                     .spot = spot,
-                    /* One request about a kind at a time: until it is answered, nobody knows
-                     * whether there are more of it. */
+                    /* Until what is asked for is answered, nobody knows whether there is more. */
                     .refused = rp_fleet_refused(r->fleet, (int)t, (int)z, spot) ||
-                               rp_fleet_pending(r->fleet, (int)t, (int)z, spot) > 0,
+                               rp_fleet_pending(r->fleet, (int)t, (int)z, spot) >= ASKED_MAX,
                     .price = rp_fleet_price(c, (int)t, spot),
                     .boot_s = type->boot_s,
                     .fetch_gb_per_s = type->fetch_gb_per_s,
@@ -374,8 +374,8 @@
         return;
     /* Large jobs that are given up so that more small ones are in time begin all the same: the
      * users want the first task of every job within four minutes. */
-    if (!begun && n > 1 && job->spec.kind != RP_GANG && x->in.n_groups + 1 < most &&
-        rp_job_age_s(job, now) > BEGIN_AFTER_S) {
+    if (r->short_of_room[job->spec.each.gpus > 0] && !begun && n > 1 && job->spec.kind != RP_GANG &&
+        x->in.n_groups + 1 < most && rp_job_age_s(job, now) > BEGIN_AFTER_S) {
         build_group(r, job, 1, &x->groups[x->in.n_groups], now);
         x->groups[x->in.n_groups++].begin = true;
         n--;
@@ -773,6 +773,7 @@
     if (plan.failed)
         goto out;
     r->wins[winner]++;
+    memcpy(r->short_of_room, plan.short_of_room, sizeof r->short_of_room);
     rp_debug("round %lu: jobs=%zu machines=%zu now=%u wait=%u new=%zu left=%.0f cost=%.3f by %s",
              r->n_rounds, x.in.n_groups, x.in.n_machines, plan.n_now, plan.n_wait, plan.n_fresh,
              plan.left, plan.cost, r->settings->tuning.heuristics[winner]);
--- a/src/round.h
+++ b/src/round.h
@@ -20,7 +20,8 @@
     unsigned long wins[RP_HEURISTICS_MAX];
     unsigned long n_rounds, n_preempted;
     struct timespec last;
-    double took_s; /* the last round's own time */
+    bool short_of_room[2]; /* as the last plan said */
+    double took_s;         /* the last round's own time */
     struct rp_timer timer;
     bool active;
 };
