Machines gathered for gangs of several tasks; takeovers don't stop gangs; round.c split

The machines free soonest are kept for one gang at a time, for a bounded time, lower work being stopped for urgent ones. Cause 2: after a takeover a gang's tasks are heard of one by one, and mend_gangs stopped them all as incomplete. It waits now until no machine may hold a task that the leader doesn't know of.

--- a/src/model.h
+++ b/src/model.h
@@ -21,6 +21,25 @@
     double cpus, gpus, memory_gb;
 };
 
+static inline void rp_resources_add(struct rp_resources *a, const struct rp_resources *b) {
+    a->cpus += b->cpus;
+    a->gpus += b->gpus;
+    a->memory_gb += b->memory_gb;
+}
+
+/* Never below nothing. */
+static inline void rp_resources_sub(struct rp_resources *a, const struct rp_resources *b) {
+    a->cpus = fmax(0, a->cpus - b->cpus);
+    a->gpus = fmax(0, a->gpus - b->gpus);
+    a->memory_gb = fmax(0, a->memory_gb - b->memory_gb);
+}
+
+static inline bool rp_resources_fit(const struct rp_resources *need,
+                                    const struct rp_resources *room) {
+    return need->cpus <= room->cpus + 1e-9 && need->gpus <= room->gpus + 1e-9 &&
+           need->memory_gb <= room->memory_gb + 1e-9;
+}
+
 struct rp_job_spec {
     char id[RP_ID_MAX];
     char class_name[RP_TEXT_MAX];
--- a/src/plan.c
+++ b/src/plan.c
@@ -225,7 +225,7 @@
         size_t at = r->machine_order[i];
         const struct rp_plan_machine *m = &r->in->machines[at];
         if (!allowed(g, m->type, m->zone, m->spot) || m->fetch_gb_per_s <= 0 ||
-            !fits(&g->each, &m->room, 1))
+            (m->kept && m->kept != g->ref) || !fits(&g->each, &m->room, 1))
             continue;
         if (g->has_image && g->has_image[at])
             return 0;
@@ -482,7 +482,7 @@
 static void try_machine(struct run *r, struct placing *pl, size_t at, bool later) {
     const struct rp_plan_machine *m = &r->in->machines[at];
     const struct rp_plan_group *g = pl->g;
-    if (!allowed(g, m->type, m->zone, m->spot))
+    if (!allowed(g, m->type, m->zone, m->spot) || (m->kept && m->kept != g->ref))
         return;
     uint32_t most = zone_room(pl, m->zone);
     most = fits(&g->each, &r->slots[at].later, most);
@@ -690,8 +690,9 @@
     }
 }
 
-/* A gang of one zone may fit in one zone and not in another: each is tried. */
-static void place_gang(struct run *r, struct placing *pl) {
+/* A gang of one zone may fit in one zone and not in another: each is tried. True once all of it has
+ * its place. */
+static bool place_gang_in(struct run *r, struct placing *pl, bool now) {
     size_t fresh = r->plan->n_fresh;
     int zones = pl->g->one_zone && pl->zone < 0 ? RP_ZONES_MAX : 1;
     for (int z = 0; z < zones; z++) {
@@ -699,21 +700,20 @@
             continue;
         if (zones > 1)
             pl->zone = z;
-        try_machines(r, pl, false);
-        if (pl->left == 0)
-            return;
-        roll_back(r, pl, fresh);
-    }
-    for (int z = 0; z < zones; z++) {
-        if (zones > 1 && !(pl->g->zones >> z & 1))
-            continue;
-        if (zones > 1)
-            pl->zone = z;
-        place_everywhere(r, pl);
+        if (now)
+            try_machines(r, pl, false);
+        else
+            place_everywhere(r, pl);
         if (pl->left == 0)
-            return;
+            return true;
         roll_back(r, pl, fresh);
     }
+    return false;
+}
+
+static void place_gang(struct run *r, struct placing *pl) {
+    if (!place_gang_in(r, pl, true) && !pl->g->held)
+        place_gang_in(r, pl, false);
 }
 
 static void place_group(struct run *r, size_t index) {
@@ -725,14 +725,14 @@
     if (g->kind == RP_GANG && want < g->n)
         return; /* over the limit: the gang waits whole */
     pl.left = want;
-    if (g->held) {
-        try_machines(r, &pl, false);
-        r->plan->n_wait += pl.left;
-        pl.left = 0;
-    } else if (g->kind == RP_GANG)
+    if (g->kind == RP_GANG)
         place_gang(r, &pl);
     else
         place_everywhere(r, &pl);
+    if (g->held) {
+        r->plan->n_wait += pl.left;
+        pl.left = 0;
+    }
     uint32_t placed = want - pl.left;
     if (g->team >= 0) {
         r->cpus_left[g->team] -= placed * g->each.cpus;
--- a/src/plan.h
+++ b/src/plan.h
@@ -53,6 +53,7 @@
 
 struct rp_plan_machine {
     void *ref;
+    const void *kept;               /* the only group, by its ref, that may use it; NULL: any */
     const struct rp_plan_end *ends; /* in the order of time */
     size_t n_ends;
     int type, zone;
--- /dev/null
+++ b/src/room.c
@@ -0,0 +1,395 @@
+#include "room.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include "log.h"
+
+#define START_COUNTS_S 31 /* a start that is stopped sooner counts for no aim (PROTOCOL) */
+#define MOVE_S 10         /* stopping a task here and starting it there */
+#define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
+#define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
+#define GATHER_MAX_S 60   /* a machine that isn't free by then isn't kept for a gang */
+#define GATHER_SLACK_S 6  /* run times are estimates */
+#define SOON_S 8          /* room that comes by itself this soon is waited for */
+
+static void reserve(const struct rp_round *r, struct rp_machine *m, const struct rp_job *job,
+                    double for_s) {
+    strcpy(m->reserved, job->spec.id);
+    m->reserved_until = rp_ts_after(rp_loop_now(r->loop), for_s + RESERVE_SLACK_S);
+}
+
+/* The job that room is kept for on this machine, while it is still waited for. */
+const struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m) {
+    const struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
+    if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || !rp_machine_usable(m) ||
+        rp_ts_reached(rp_loop_now(r->loop), m->reserved_until))
+        return NULL;
+    if (rp_room_whole(job))
+        return job;
+    struct rp_resources room = rp_machine_free(r->picture, m);
+    return rp_resources_fit(&job->spec.each, &room) ? NULL : job;
+}
+
+bool rp_room_whole(const struct rp_job *job) {
+    return job->spec.kind == RP_GANG && job->spec.n_tasks > 1;
+}
+
+bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job) {
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        if (rp_room_reserved_for(r, m) == job)
+            return true;
+    return false;
+}
+
+/* ---- what no plan does: gangs that lost a task, room for higher priorities ---- */
+
+/* After a takeover a gang's tasks are heard of one by one: those not heard of yet are no reason to
+ * stop the others (every takeover stopped every gang of several tasks). */
+void rp_room_mend_gangs(struct rp_round *r) {
+    for (struct rp_job *job = r->jobs->first; job; job = job->next)
+        if (job->spec.kind == RP_GANG && job->state == RP_JOB_OPEN && job->n_counted > 0 &&
+            job->n_counted < job->spec.n_tasks && rp_picture_job_settled(r->picture, job))
+            rp_picture_stop_job(r->picture, job, 0);
+}
+
+static bool may_stop(const struct rp_place *place, enum rp_priority above) {
+    return place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
+           place->job->spec.priority < above;
+}
+
+/* Work that is lost, and that is kept waiting, if the machine's lower tasks are stopped for one
+ * task of the job; negative when that wouldn't do. */
+static double stop_price(const struct rp_round *r, const struct rp_machine *m,
+                         const struct rp_job *job, struct timespec now) {
+    struct rp_resources room = rp_machine_free(r->picture, m);
+    double price = 1;
+    for (size_t i = 0; i < m->n_places && !rp_resources_fit(&job->spec.each, &room); i++) {
+        const struct rp_place *place = &m->places[i];
+        if (!may_stop(place, job->spec.priority))
+            continue;
+        rp_resources_add(&room, &place->job->spec.each);
+        /* What is being stopped already costs nothing more: so a second look chooses the same
+         * machine again, and not one more. */
+        if (place->stop)
+            continue;
+        double ran = place->running.tv_sec ? rp_ts_since(now, place->running) : 0;
+        price += place->job->spec.checkpoint_s > 0 ? fmin(ran, 5) : ran;
+    }
+    return rp_resources_fit(&job->spec.each, &room) ? price : -1;
+}
+
+static void stop_for(struct rp_round *r, struct rp_machine *m, const struct rp_job *job) {
+    struct rp_resources room = rp_machine_free(r->picture, m);
+    unsigned stopped = 0;
+    double longest = 0;
+    for (size_t i = 0; i < m->n_places; i++)
+        if (m->places[i].stop && may_stop(&m->places[i], job->spec.priority))
+            rp_resources_add(&room, &m->places[i].job->spec.each);
+    for (size_t i = m->n_places; i-- > 0 && !rp_resources_fit(&job->spec.each, &room);) {
+        struct rp_place *place = &m->places[i];
+        if (place->stop || !may_stop(place, job->spec.priority))
+            continue;
+        rp_resources_add(&room, &place->job->spec.each);
+        stopped++;
+        if (place->state == RP_PLACE_PLANNED) {
+            rp_place_drop(r->picture, m, i);
+            continue;
+        }
+        const struct rp_job_spec *spec = &place->job->spec;
+        double grace = spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0;
+        rp_place_stop(place, grace);
+        longest = fmax(longest, grace);
+        r->n_preempted++;
+    }
+    reserve(r, m, job, longest);
+    if (stopped)
+        rp_info("job %s gets room on %s: tasks stopped=%u", job->spec.id, m->name, stopped);
+}
+
+/* The machine where room for the job costs least; of those that hold its image, if asked so. */
+static struct rp_machine *cheapest_stop(struct rp_round *r, const struct rp_job *job,
+                                        bool with_image, struct timespec now) {
+    struct rp_machine *best = NULL;
+    double best_price = 0;
+    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+        if (!rp_machine_usable(m) || rp_room_reserved_for(r, m) ||
+            (with_image && !rp_machine_has_image(m, job->spec.image)) ||
+            !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot))
+            continue;
+        double price = stop_price(r, m, job, now);
+        if (price >= 0 && (!best || price < best_price)) {
+            best = m;
+            best_price = price;
+        }
+    }
+    return best;
+}
+
+static bool may_preempt(const struct rp_job *job) {
+    return job->spec.priority >= RP_HIGH && job->spec.kind == RP_GANG && job->spec.n_tasks == 1;
+}
+
+/* An urgent gang that would have to fetch its image, though another machine holds it and only has
+ * to be freed of lower work, has that machine freed: saving that work takes less than the fetch,
+ * which a whole machine would stand idle for. */
+void rp_room_prefer_holders(struct rp_round *r, const struct rp_round_input *x,
+                            struct rp_plan *plan, struct timespec now) {
+    if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
+        return;
+    for (size_t i = 0; i < plan->n_puts; i++) {
+        struct rp_plan_put *put = &plan->puts[i];
+        const struct rp_job *job = x->groups[put->group].ref;
+        const struct rp_machine *m =
+            put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
+        if (!put->now || !m || !may_preempt(job) || rp_machine_has_image(m, job->spec.image))
+            continue;
+        double rate = rp_round_catalog(r)->types[m->type].fetch_gb_per_s;
+        if (rate <= 0 || job->spec.image_gb / rate < HOLDER_WORTH_S)
+            continue;
+        struct rp_machine *holder = cheapest_stop(r, job, true, now);
+        if (!holder)
+            continue;
+        stop_for(r, holder, job);
+        put->count = 0;
+    }
+}
+
+/* Only gangs of one task are given room this way, one machine at a time: what is stopped for a
+ * larger gang would stand empty until the last of its places is free. */
+void rp_room_preempt(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
+                     struct timespec now) {
+    if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
+        return;
+    for (size_t g = 0; g < x->in.n_groups; g++) {
+        const struct rp_job *job = x->groups[g].ref;
+        bool now_placed = false, soon = false;
+        if (x->groups[g].held || !may_preempt(job))
+            continue;
+        for (size_t p = 0; p < plan->n_puts; p++) {
+            const struct rp_plan_put *put = &plan->puts[p];
+            if (put->group != g)
+                continue;
+            now_placed |= put->now;
+            const struct rp_machine *m =
+                put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
+            soon |= m && m->state == RP_MACHINE_UP && x->machines[put->machine].busy_s < SOON_S;
+        }
+        struct rp_machine *m = now_placed || soon ? NULL : cheapest_stop(r, job, false, now);
+        if (m)
+            stop_for(r, m, job);
+    }
+}
+
+/* ---- machines gathered for a gang of several ---- */
+
+/* When a machine could start one of the gang's tasks. */
+struct candidate {
+    struct rp_machine *machine;
+    double start_s; /* with the fetch */
+    double free_s;  /* by its work's estimated ends, or once lower work is stopped */
+    bool stop;
+};
+
+static int by_start(const void *a, const void *b) {
+    const struct candidate *x = a, *y = b;
+    return x->start_s < y->start_s ? -1 : x->start_s > y->start_s;
+}
+
+static bool candidate_for(struct rp_round *r, const struct rp_job *job,
+                          const struct rp_plan_machine *m, struct candidate *c,
+                          struct timespec now) {
+    *c = (struct candidate){.machine = m->ref};
+    if (!m->ref || m->kept || !rp_machine_usable(m->ref) ||
+        !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot) ||
+        rp_plan_part(&job->spec.each, &m->capacity) <= 0.5)
+        return false;
+    c->free_s = rp_plan_fits_after(m, &job->spec.each);
+    if (c->free_s > SOON_S && job->spec.priority >= RP_HIGH && r->settings->tuning.preemption &&
+        stop_price(r, m->ref, job, now) >= 0) {
+        c->stop = true;
+        c->free_s = SOON_S;
+    }
+    bool has = rp_machine_has_image(m->ref, job->spec.image);
+    c->start_s =
+        c->free_s + (has || m->fetch_gb_per_s <= 0 ? 0 : job->spec.image_gb / m->fetch_gb_per_s);
+    return c->free_s < GATHER_MAX_S;
+}
+
+/* The machines, of one zone if need be, that could start the gang soonest; false if there aren't
+ * enough of them. They are the first of `list`. */
+static bool soonest(struct rp_round *r, const struct rp_round_input *x, const struct rp_job *job,
+                    struct candidate *list, struct timespec now) {
+    size_t n_zones = job->spec.one_zone ? rp_round_catalog(r)->n_zones : 1;
+    struct candidate *best = calloc(job->spec.n_tasks, sizeof *best);
+    bool found = false;
+    for (size_t z = 0; best && z < n_zones; z++) {
+        size_t n = 0, want = job->spec.n_tasks;
+        for (size_t i = 0; i < x->in.n_machines; i++)
+            if (n_zones == 1 || x->machines[i].zone == (int)z)
+                n += candidate_for(r, job, &x->machines[i], &list[n], now);
+        qsort(list, n, sizeof *list, by_start);
+        if (n < want || (found && list[want - 1].start_s >= best[want - 1].start_s))
+            continue;
+        memcpy(best, list, want * sizeof *best);
+        found = true;
+    }
+    if (found)
+        memcpy(list, best, job->spec.n_tasks * sizeof *best);
+    free(best);
+    return found;
+}
+
+static void gather_for(struct rp_round *r, struct rp_job *job, const struct candidate *list) {
+    double longest = 0;
+    for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+        longest = fmax(longest, list[i].free_s);
+    for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
+        if (list[i].stop)
+            stop_for(r, list[i].machine, job);
+        reserve(r, list[i].machine, job, longest + GATHER_SLACK_S);
+    }
+    rp_info("job %s: machines=%u are kept for it, free in %.0fs", job->spec.id, job->spec.n_tasks,
+            longest);
+}
+
+/* Whether the plan has places for all of the gang, either now or on machines still to come up. */
+static bool gang_served(const struct rp_round_input *x, const struct rp_plan *plan, size_t group) {
+    bool all_now = true, fresh = false;
+    size_t puts = 0;
+    for (size_t p = 0; p < plan->n_puts; p++) {
+        const struct rp_plan_put *put = &plan->puts[p];
+        if (put->group != group)
+            continue;
+        const struct rp_machine *m =
+            put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
+        puts++;
+        all_now &= put->now;
+        fresh |= !m || m->state == RP_MACHINE_BOOTING;
+    }
+    return puts > 0 && (all_now || fresh);
+}
+
+/* Plans place a gang whole or not at all, and what falls free meanwhile is taken by work that needs
+ * less: on a full fleet a gang of several whole machines would never find them free together. The
+ * machines that can be free soonest are kept for one gang at a time; all of them at once, so that
+ * no two gangs hold a part each of what both need, and for a bounded time. */
+void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
+                    struct timespec now) {
+    struct candidate *list = NULL;
+    size_t chosen = x->in.n_groups;
+    for (size_t g = 0; g < x->in.n_groups; g++) {
+        const struct rp_plan_group *group = &x->groups[g];
+        if (!rp_room_whole(group->ref))
+            continue;
+        if (group->held)
+            return; /* one at a time */
+        bool before = chosen == x->in.n_groups || group->priority > x->groups[chosen].priority ||
+                      (group->priority == x->groups[chosen].priority &&
+                       group->age_s > x->groups[chosen].age_s);
+        if (before && rp_picture_job_settled(r->picture, group->ref) && !gang_served(x, plan, g))
+            chosen = g;
+    }
+    if (chosen == x->in.n_groups)
+        return;
+    list = calloc(x->in.n_machines + 1, sizeof *list);
+    if (list && soonest(r, x, x->groups[chosen].ref, list, now))
+        gather_for(r, x->groups[chosen].ref, list);
+    free(list);
+}
+
+/* ---- moving the last work of a machine elsewhere ---- */
+
+/* A task that keeps its progress when stopped, and whose start counts already. */
+static bool movable(const struct rp_place *place, struct timespec now) {
+    const struct rp_job_spec *spec = &place->job->spec;
+    return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
+           spec->checkpoint_s > 0 && spec->kind == RP_ARRAY &&
+           rp_ts_since(now, place->running) > START_COUNTS_S;
+}
+
+/* Takes the room for all tasks of `m` on other machines; returns how much longer these have to be
+ * kept for them, in money, or a negative number when there is no room. */
+static double move_price(const struct rp_round *r, const struct rp_machine *m,
+                         struct timespec now) {
+    double price = 0;
+    struct rp_resources *room = calloc(r->picture->n_machines, sizeof *room);
+    size_t n = 0;
+    if (!room)
+        return -1;
+    for (const struct rp_machine *o = r->picture->first; o; o = o->next)
+        room[n++] = rp_machine_free(r->picture, o);
+    for (size_t i = 0; i < m->n_places && price >= 0; i++) {
+        const struct rp_place *place = &m->places[i];
+        double left = rp_place_left_s(r, m, place, now) + MOVE_S + place->job->spec.save_s;
+        double best = -1;
+        size_t best_at = 0, at = 0;
+        for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
+            if (o == m || !rp_machine_usable(o) || rp_room_reserved_for(r, o) || o->n_places == 0 ||
+                !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
+                !rp_resources_fit(&place->job->spec.each, &room[at]) ||
+                !rp_machine_has_image(o, place->job->spec.image))
+                continue;
+            double busy = 0;
+            for (size_t k = 0; k < o->n_places; k++)
+                busy = fmax(busy, rp_place_left_s(r, o, &o->places[k], now));
+            double more =
+                fmax(0, left - busy) * rp_fleet_price(rp_round_catalog(r), o->type, o->spot);
+            if (best < 0 || more < best) {
+                best = more;
+                best_at = at;
+            }
+        }
+        if (best < 0) {
+            price = -1;
+        } else {
+            rp_resources_sub(&room[best_at], &place->job->spec.each);
+            price = fmax(price, best);
+        }
+    }
+    free(room);
+    return price;
+}
+
+static bool type_wanted(const struct rp_round_input *x, int type) {
+    for (size_t g = 0; g < x->in.n_groups; g++)
+        if (x->groups[g].types >> type & 1)
+            return true;
+    return false;
+}
+
+/* At the end of a load the last long tasks sit on many machines, each kept for a task or two.
+ * Where they fit on machines that are kept anyway, and nothing waits for the room, they are
+ * stopped with their progress saved, and the machine goes back. */
+void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
+                            struct timespec now) {
+    struct rp_machine *best = NULL;
+    double best_saving = 0;
+    /* One after the other: the room found for a machine's tasks must not be found twice. */
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        if (m->emptied)
+            return;
+    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+        if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) ||
+            rp_room_reserved_for(r, m))
+            continue;
+        double price = rp_fleet_price(rp_round_catalog(r), m->type, m->spot), busy = 0;
+        bool all = true;
+        for (size_t i = 0; i < m->n_places && all; i++) {
+            all = movable(&m->places[i], now);
+            busy = fmax(busy, rp_place_left_s(r, m, &m->places[i], now));
+        }
+        double more = all && busy > 2 * MOVE_S ? move_price(r, m, now) : -1;
+        double saving = price * (busy - MOVE_S) - more;
+        if (more >= 0 && saving > price * MOVE_S && saving > best_saving) {
+            best = m;
+            best_saving = saving;
+        }
+    }
+    if (!best)
+        return;
+    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", best->name, best->n_places);
+    best->emptied = true;
+    for (size_t i = 0; i < best->n_places; i++)
+        rp_place_stop(&best->places[i], best->places[i].job->spec.save_s * 1.2 + 1);
+}
--- /dev/null
+++ b/src/room.h
@@ -0,0 +1,23 @@
+/* What no plan does: gangs that lost a task, room made for work that finds none, machines emptied
+ * at the end of a load. */
+#ifndef RP_ROOM_H
+#define RP_ROOM_H
+
+#include "round_input.h"
+
+/* The job that room is kept for on this machine, while it is still waited for. */
+const struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m);
+bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job);
+/* A gang of several tasks: machines are kept for it whole. */
+bool rp_room_whole(const struct rp_job *job);
+void rp_room_mend_gangs(struct rp_round *r);
+void rp_room_prefer_holders(struct rp_round *r, const struct rp_round_input *x,
+                            struct rp_plan *plan, struct timespec now);
+void rp_room_preempt(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
+                     struct timespec now);
+void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
+                    struct timespec now);
+void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
+                            struct timespec now);
+
+#endif
--- /dev/null
+++ b/src/round_input.h
@@ -0,0 +1,26 @@
+/* The leader's picture as the planner sees it. */
+#ifndef RP_ROUND_INPUT_H
+#define RP_ROUND_INPUT_H
+
+#include "round.h"
+
+struct rp_round_input {
+    struct rp_plan_input in;
+    struct rp_plan_kind *kinds;
+    struct rp_plan_machine *machines;
+    struct rp_plan_group *groups;
+    struct rp_plan_team *teams;
+    bool *has_image;
+    struct rp_plan_end *ends;
+    size_t n_ends;
+};
+
+/* False when memory is short; to be freed in either case. */
+bool rp_round_input_build(struct rp_round *r, struct rp_round_input *x, struct timespec now);
+void rp_round_input_free(struct rp_round_input *x);
+
+static inline const struct rp_catalog *rp_round_catalog(const struct rp_round *r) {
+    return r->fleet->catalog;
+}
+
+#endif
