Gangs that haven't begun are completed; work without GPUs takes what GPU work leaves

A start with the same attempt number completes the gang instead. Cause 2: CPUs that GPU work leaves (3 of 24, 5 of 48) stood idle on machines paid for anyway.

--- a/src/plan.c
+++ b/src/plan.c
@@ -16,8 +16,9 @@
  * rougher the fewer machines they are spread over. */
 #define GIVE_UP_AT 1.5
 #define GIVE_UP_FEW 30.0
-#define ESW_SHORT 5.0  /* how much more it weighs when not all jobs can be in time */
-#define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
+#define SPARE_SHARE 0.7 /* of a task's time that a machine must be in use for anyway */
+#define ESW_SHORT 5.0   /* how much more it weighs when not all jobs can be in time */
+#define ESW_WEIGHT 6.0  /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
                                         "STJF", "EDF", "SRW", "ESW"};
@@ -55,7 +56,7 @@
 /* ---- the state of one heuristic's run ---- */
 
 struct slot {
-    struct rp_resources room, later;
+    struct rp_resources room, later, spare;
     double end_s; /* estimated end of the last task */
     bool used;
 };
@@ -463,6 +464,8 @@
     take(&slot->later, &pl->g->each, count);
     if (now)
         take(&slot->room, &pl->g->each, count);
+    if (now)
+        take(&slot->spare, &pl->g->each, count);
     slot->end_s = fmax(slot->end_s, end_s);
     slot->used = true;
     r->filled = true;
@@ -619,6 +622,8 @@
         take(&slot->later, &pl->g->each, -(double)u->count);
         if (u->now)
             take(&slot->room, &pl->g->each, -(double)u->count);
+        if (u->now)
+            take(&slot->spare, &pl->g->each, -(double)u->count);
     }
     p->n_fresh = fresh_before;
     pl->left = pl->g->kind == RP_GANG ? pl->g->n : pl->left;
@@ -673,8 +678,30 @@
     return true;
 }
 
+/* What the GPU work on a machine leaves of its CPUs costs nothing more: work that has no use for
+ * the GPUs may take that, where it is over before the machine's own work. */
+static void try_spare(struct run *r, struct placing *pl) {
+    const struct rp_plan_group *g = pl->g;
+    if (!g->spare_types)
+        return;
+    for (int with_image = 1; with_image >= 0; with_image--)
+        for (size_t at = 0; at < r->in->n_machines && pl->left > 0; at++) {
+            const struct rp_plan_machine *m = &r->in->machines[at];
+            bool has = g->has_image && g->has_image[at];
+            if (has != (with_image == 1) || !(g->spare_types >> m->type & 1) ||
+                !(g->zones >> m->zone & 1) || (m->spot && !g->spot) || m->kept ||
+                m->busy_s < SPARE_SHARE * (g->run_s + fetch_s(g, m->fetch_gb_per_s, has)))
+                continue;
+            uint32_t most = fits(&g->each, &r->slots[at].spare, zone_room(pl, m->zone));
+            most = fits(&g->each, &r->slots[at].room, most);
+            if (most > 0)
+                put(r, pl, at, most, true, 0);
+        }
+}
+
 static void place_everywhere(struct run *r, struct placing *pl) {
     try_machines(r, pl, false);
+    try_spare(r, pl);
     try_machines(r, pl, true);
     try_fresh(r, pl);
     if (pl->left > 0 && can_wait(r, pl))
@@ -802,6 +829,7 @@
     for (size_t i = 0; i < in->n_machines; i++)
         r.slots[i] = (struct slot){.room = in->machines[i].room,
                                    .later = in->machines[i].later,
+                                   .spare = in->machines[i].spare,
                                    .end_s = in->machines[i].busy_s};
     for (size_t i = 0; i < in->n_teams; i++) {
         r.cpus_left[i] = in->teams[i].cpus_left;
--- a/src/plan.h
+++ b/src/plan.h
@@ -63,6 +63,7 @@
     struct rp_resources capacity;
     struct rp_resources room;  /* now; nothing while it boots */
     struct rp_resources later; /* by the time when another machine of its type would be up */
+    struct rp_resources spare; /* of the room now: what work without the type's GPUs may take */
     double wait_s;             /* until `later` holds */
     double age_s;              /* since its rental */
     double work_s;             /* its tasks' remaining time, weighed by their part of it */
@@ -84,6 +85,7 @@
     bool begin;     /* a first task of a job that has waited long: it is not to wait for the rest */
     int team;
     uint32_t types, zones; /* bit sets of what is allowed */
+    uint32_t spare_types;  /* of these only what the machines' own work leaves */
     bool spot;
     bool one_zone, spread;
     int fixed_zone; /* the zone its placed tasks are in, -1: none yet */
--- a/src/room.c
+++ b/src/room.c
@@ -11,8 +11,13 @@
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
 #define GATHER_MAX_S 60   /* a machine that isn't free by then isn't kept for a gang */
 #define GATHER_SLACK_S 6  /* run times are estimates */
+#define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 
+bool rp_room_whole(const struct rp_job *job) {
+    return job->spec.kind == RP_GANG && job->spec.n_tasks > 1;
+}
+
 static void reserve(const struct rp_round *r, struct rp_machine *m, const struct rp_job *job,
                     double for_s) {
     strcpy(m->reserved, job->spec.id);
@@ -22,7 +27,8 @@
 /* The job that room is kept for on this machine, while it is still waited for. */
 const struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m) {
     const struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
-    if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || !rp_machine_usable(m) ||
+    if (!job || job->state != RP_JOB_OPEN || !rp_machine_usable(m) ||
+        job->n_counted >= (rp_room_whole(job) ? job->spec.n_tasks : 1) ||
         rp_ts_reached(rp_loop_now(r->loop), m->reserved_until))
         return NULL;
     if (rp_room_whole(job))
@@ -31,10 +37,6 @@
     return rp_resources_fit(&job->spec.each, &room) ? NULL : job;
 }
 
-bool rp_room_whole(const struct rp_job *job) {
-    return job->spec.kind == RP_GANG && job->spec.n_tasks > 1;
-}
-
 bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job) {
     for (const struct rp_machine *m = r->picture->first; m; m = m->next)
         if (rp_room_reserved_for(r, m) == job)
@@ -44,15 +46,95 @@
 
 /* ---- what no plan does: gangs that lost a task, room for higher priorities ---- */
 
+/* ---- gangs that lost a task ---- */
+
+/* What is known of a gang's attempt. */
+struct attempt {
+    uint64_t number;
+    bool begun;            /* some task runs, saves or is being stopped */
+    struct timespec since; /* when its first place was planned */
+};
+
+static struct attempt attempt_of(const struct rp_round *r, const struct rp_job *job) {
+    struct attempt a = {0};
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++) {
+            const struct rp_place *place = &m->places[i];
+            if (place->job != job || place->state == RP_PLACE_EXITED)
+                continue;
+            /* Of two attempts at once the older one is ending: nothing can join it. */
+            a.begun |=
+                place->stop || (a.number && place->attempt != a.number) ||
+                (place->task_state != RP_TASK_FETCHING && place->task_state != RP_TASK_WAITING);
+            if (!a.number || rp_ts_cmp(place->since, a.since) < 0)
+                a.since = place->since;
+            a.number = place->attempt;
+        }
+    return a;
+}
+
+/* Where the task of this attempt has just exited: until its removal is confirmed, starting the same
+ * attempt there again would do nothing. */
+static struct rp_machine *left_on(const struct rp_round *r, const struct rp_job *job, uint32_t task,
+                                  uint64_t attempt) {
+    for (struct rp_machine *m = r->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++)
+            if (m->places[i].job == job && m->places[i].task == task &&
+                m->places[i].attempt == attempt)
+                return m;
+    return NULL;
+}
+
+static void replace_task(struct rp_round *r, struct rp_job *job, uint32_t task, uint64_t attempt) {
+    struct rp_machine *last = left_on(r, job, task, attempt), *best = NULL;
+    if (last) {
+        /* It holds the image by now: it is kept for the task. */
+        reserve(r, last, job, 0);
+        return;
+    }
+    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+        const struct rp_job *kept = rp_room_reserved_for(r, m);
+        if ((kept && kept != job) || !rp_picture_may_start(r->picture, job, task, m))
+            continue;
+        bool has = rp_machine_has_image(m, job->spec.image);
+        if (!best || (has && !rp_machine_has_image(best, job->spec.image)))
+            best = m;
+        if (kept == job)
+            best = m;
+        if (kept == job || has)
+            break;
+    }
+    if (best)
+        rp_place_add(r->picture, best, job, task, attempt, RP_PLACE_PLANNED);
+}
+
+/* A gang whose tasks still fetch their image or wait for one another is completed by a new start
+ * with the same attempt number. So a task that waits on a machine with the image may exit as alone
+ * after gang_wait_s, while another fetches for longer: stopping all of them, as for a gang that
+ * runs, gave the fetches up, and a gang with a large image never began. */
+static void mend_gang(struct rp_round *r, struct rp_job *job, struct timespec now) {
+    struct attempt a = attempt_of(r, job);
+    double patience = r->settings->gang_wait_s * MEND_WAITS;
+    if (a.begun || rp_ts_since(now, a.since) > patience) {
+        rp_picture_stop_job(r->picture, job, 0);
+        return;
+    }
+    for (uint32_t task = 0; task < job->spec.n_tasks; task++)
+        if (rp_job_places(job, task) == 0)
+            replace_task(r, job, task, a.number);
+}
+
 /* After a takeover a gang's tasks are heard of one by one: those not heard of yet are no reason to
  * stop the others (every takeover stopped every gang of several tasks). */
-void rp_room_mend_gangs(struct rp_round *r) {
+void rp_room_mend_gangs(struct rp_round *r, struct timespec now) {
     for (struct rp_job *job = r->jobs->first; job; job = job->next)
         if (job->spec.kind == RP_GANG && job->state == RP_JOB_OPEN && job->n_counted > 0 &&
             job->n_counted < job->spec.n_tasks && rp_picture_job_settled(r->picture, job))
-            rp_picture_stop_job(r->picture, job, 0);
+            mend_gang(r, job, now);
 }
 
+/* ---- room for higher priorities ---- */
+
 static bool may_stop(const struct rp_place *place, enum rp_priority above) {
     return place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
            place->job->spec.priority < above;
--- a/src/room.h
+++ b/src/room.h
@@ -10,7 +10,7 @@
 bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job);
 /* A gang of several tasks: machines are kept for it whole. */
 bool rp_room_whole(const struct rp_job *job);
-void rp_room_mend_gangs(struct rp_round *r);
+void rp_room_mend_gangs(struct rp_round *r, struct timespec now);
 void rp_room_prefer_holders(struct rp_round *r, const struct rp_round_input *x,
                             struct rp_plan *plan, struct timespec now);
 void rp_room_preempt(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
--- a/src/round.c
+++ b/src/round.c
@@ -156,7 +156,7 @@
         return;
     r->last = now;
     r->n_rounds++;
-    rp_room_mend_gangs(r);
+    rp_room_mend_gangs(r, now);
     if (!rp_round_input_build(r, &x, now))
         goto out;
     size_t winner = rp_plan_best(&x.in, r->heuristics, r->n_heuristics, &plan);
--- a/src/round.h
+++ b/src/round.h
@@ -20,8 +20,9 @@
     unsigned long wins[RP_HEURISTICS_MAX];
     unsigned long n_rounds, n_preempted;
     struct timespec last;
-    bool short_of_room[2]; /* as the last plan said */
-    double took_s;         /* the last round's own time */
+    struct rp_resources whole[RP_TYPES_MAX]; /* what its GPU work takes of a type when full */
+    bool short_of_room[2];                   /* as the last plan said */
+    double took_s;                           /* the last round's own time */
     struct rp_timer timer;
     bool active;
 };
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -100,6 +100,29 @@
     out->mean_arrival_s = m->n_places ? sum / (double)m->n_places : 0;
 }
 
+/* What a machine's own kind of work leaves even when it fills the machine: beyond what a task that
+ * takes it whole needs. Nothing while an image is fetched for it, which another would slow down. */
+static struct rp_resources spare_room(const struct rp_round *r, const struct rp_machine *m) {
+    const struct rp_resources *capacity = &rp_round_catalog(r)->types[m->type].capacity;
+    const struct rp_resources *own = &r->whole[m->type];
+    struct rp_resources spare = {0};
+    if (capacity->gpus <= 0 || own->gpus <= 0 || !rp_machine_usable(m))
+        return spare;
+    spare = *capacity;
+    rp_resources_sub(&spare, own);
+    for (size_t i = 0; i < m->n_places; i++) {
+        const struct rp_place *place = &m->places[i];
+        if (place->state == RP_PLACE_EXITED)
+            continue;
+        if (place->job->spec.each.gpus <= 0)
+            rp_resources_sub(&spare, &place->job->spec.each);
+        else if (place->task_state == RP_TASK_FETCHING)
+            return (struct rp_resources){0};
+    }
+    spare.gpus = 0;
+    return spare;
+}
+
 static void describe_machine(const struct rp_round *r, struct rp_machine *m,
                              struct rp_plan_machine *out, struct rp_plan_end *ends,
                              struct timespec now) {
@@ -121,6 +144,7 @@
     }
     if (rp_machine_usable(m))
         out->room = room;
+    out->spare = spare_room(r, m);
     describe_work(r, m, out, ends, now);
     /* Room being made for a job isn't given to others while the rest of it is still in use. */
     const struct rp_job *job = rp_room_reserved_for(r, m);
@@ -140,9 +164,39 @@
     return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed && !m->emptied;
 }
 
+/* What the GPU work known now takes of a machine that it fills: a task that takes all GPUs what it
+ * says, smaller ones, of which several sizes come together, their mean. */
+static void note_whole(struct rp_round *r, size_t type) {
+    const struct rp_resources *all = &rp_round_catalog(r)->types[type].capacity;
+    struct rp_resources largest = {0}, sum = {0};
+    double n_sum = 0;
+    for (const struct rp_job *job = r->jobs->first; job; job = job->next) {
+        const struct rp_resources *each = &job->spec.each;
+        if (each->gpus <= 0 || !rp_resources_fit(each, all))
+            continue;
+        double n = floor(all->gpus / each->gpus + 1e-9);
+        if (n <= 1) {
+            largest.cpus = fmax(largest.cpus, each->cpus);
+            largest.memory_gb = fmax(largest.memory_gb, each->memory_gb);
+        } else {
+            n_sum++;
+            sum.cpus += n * each->cpus;
+            sum.memory_gb += n * each->memory_gb;
+        }
+        largest.gpus = all->gpus;
+    }
+    r->whole[type] = largest;
+    if (n_sum > 0) {
+        r->whole[type].cpus = fmax(largest.cpus, sum.cpus / n_sum);
+        r->whole[type].memory_gb = fmax(largest.memory_gb, sum.memory_gb / n_sum);
+    }
+}
+
 static void build_machines(struct rp_round *r, struct rp_round_input *x, struct timespec now) {
     const struct rp_catalog *c = rp_round_catalog(r);
     size_t pending = 0;
+    for (size_t t = 0; t < c->n_types; t++)
+        note_whole(r, t);
     for (size_t i = 0; i < x->in.n_kinds; i++)
         pending += rp_fleet_pending(r->fleet, x->kinds[i].type, x->kinds[i].zone, x->kinds[i].spot);
     x->machines = calloc(r->picture->n_machines + pending + 1, sizeof *x->machines);
@@ -182,7 +236,8 @@
     return taken < job->spec.n_tasks ? job->spec.n_tasks - taken : 0;
 }
 
-static uint32_t allowed_types(const struct rp_round *r, const struct rp_job_spec *spec) {
+static void allowed_types(const struct rp_round *r, const struct rp_job_spec *spec,
+                          struct rp_plan_group *g) {
     const struct rp_catalog *c = rp_round_catalog(r);
     uint32_t types = 0, plain = 0;
     for (size_t t = 0; t < c->n_types; t++)
@@ -194,8 +249,10 @@
                     plain |= 1u << t;
             }
     /* Work without GPUs stays off the machines that have them: it would sit where whole-machine
-     * work has to go, at many times the price. */
-    return spec->each.gpus <= 0 && plain ? plain : types;
+     * work has to go, at many times the price. It only takes what that leaves. */
+    bool keep_off = spec->each.gpus <= 0 && plain;
+    g->types = keep_off ? plain : types;
+    g->spare_types = keep_off && spec->kind == RP_ARRAY ? types & ~plain : 0;
 }
 
 /* Time to spare until the first of the class's aims that the job can still meet. */
@@ -240,12 +297,12 @@
                                 .age_s = rp_job_age_s(job, now),
                                 .slack_s = RP_NO_AIM_S,
                                 .team = job->team,
-                                .types = allowed_types(r, spec),
                                 .spot = spec->spot,
                                 .one_zone = spec->one_zone && spec->n_tasks > 1,
                                 .spread = spec->spread && spec->n_tasks > 1,
                                 .fixed_zone = -1,
                                 .spread_max = (spec->n_tasks + 1) / 2};
+    allowed_types(r, spec, g);
     g->slack_s = slack(r, job, g);
     g->held = rp_room_has_reservation(r, job);
     for (size_t z = 0; z < c->n_zones; z++) {
