Submissions have a budget and a queue of their own, and may come in bursts

Cause: on five nodes each had 1.9 changes a second and no more at once, and submissions stood behind polls in one queue; what waited 0.3 s got 503.

--- a/src/api.c
+++ b/src/api.c
@@ -131,7 +131,7 @@
     rp_wire_txn_if(txn, open, 0);
     rp_wire_txn_if(txn, over, 0);
     rp_wire_txn_put(txn, open, rp_record_open(&op->spec, wall), 0);
-    rp_state_txn(&op->node->state, RP_SHARE_USERS, txn, written, op);
+    rp_state_txn(&op->node->state, RP_SHARE_SUBMISSIONS, txn, written, op);
 }
 
 static void write_cancellation(struct op *op) {
@@ -142,7 +142,11 @@
     rp_wire_txn_if(txn, open, op->version);
     rp_wire_txn_delete(txn, open);
     rp_wire_txn_put(txn, over, rp_record_over(RP_JOB_CANCELLED), 0);
-    rp_state_txn(&op->node->state, RP_SHARE_USERS, txn, written, op);
+    rp_state_txn(&op->node->state, RP_SHARE_SUBMISSIONS, txn, written, op);
+}
+
+static enum rp_state_share op_share(const struct op *op) {
+    return op->kind == OP_QUERY ? RP_SHARE_QUERIES : RP_SHARE_SUBMISSIONS;
 }
 
 /* The one place where a request changes its state. */
@@ -152,11 +156,11 @@
     switch (state) {
     case OP_READ_OPEN:
         rp_key(key, RP_KEY_OPEN, op->id);
-        rp_state_get(&op->node->state, RP_SHARE_USERS, key, open_read, op);
+        rp_state_get(&op->node->state, op_share(op), key, open_read, op);
         break;
     case OP_READ_OVER:
         rp_key(key, RP_KEY_OVER, op->id);
-        rp_state_get(&op->node->state, RP_SHARE_USERS, key, over_read, op);
+        rp_state_get(&op->node->state, op_share(op), key, over_read, op);
         break;
     case OP_WRITE:
         if (op->kind == OP_SUBMIT)
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -1,5 +1,6 @@
 #include "state_client.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #define QUEUE_USERS_S 0.3 /* how long a request may wait here for its budget */
 #define QUEUE_LEADER_S 4.0
 #define TRIES_429 3
+#define BURST_SHARE 0.25
 
 struct rp_state_call {
     struct rp_state_client *client;
@@ -44,9 +46,13 @@
     rp_bucket_init(&c->requests[RP_SHARE_LEADER], rps * 0.35, rps * 0.25, now);
     rp_bucket_init(&c->writes[RP_SHARE_LEADER], write_rps * leader_write_share * 0.9,
                    write_rps * leader_write_share * 0.6, now);
-    rp_bucket_init(&c->requests[RP_SHARE_USERS], rps * 0.55 * part, rps * 0.4 * part, now);
-    rp_bucket_init(&c->writes[RP_SHARE_USERS], write_rps * users * part, write_rps * users * part,
-                   now);
+    rp_bucket_init(&c->requests[RP_SHARE_QUERIES], rps * 0.45 * part, rps * 0.35 * part, now);
+    rp_bucket_init(&c->requests[RP_SHARE_SUBMISSIONS], rps * 0.1 * part, rps * 0.05, now);
+    /* Submissions come in bursts, and no node knows of the others': a node may let a quarter of a
+     * second's worth of changes go at once, however many nodes there are, and rely on the service
+     * to refuse what is too much, which is then tried again. */
+    rp_bucket_init(&c->writes[RP_SHARE_SUBMISSIONS], write_rps * users * part,
+                   write_rps * fmax(users * part, BURST_SHARE), now);
 }
 
 static void call_free(struct rp_state_call *call) {
@@ -151,7 +157,7 @@
 }
 
 static void pump_share(struct rp_state_client *c, enum rp_state_share share) {
-    double patience = share == RP_SHARE_USERS ? QUEUE_USERS_S : QUEUE_LEADER_S;
+    double patience = share == RP_SHARE_LEADER ? QUEUE_LEADER_S : QUEUE_USERS_S;
     while (c->first[share]) {
         struct rp_state_call *call = c->first[share];
         bool late = rp_ts_since(rp_loop_now(c->loop), call->queued) > patience;
--- a/src/state_client.h
+++ b/src/state_client.h
@@ -24,8 +24,16 @@
 
 typedef void (*rp_state_fn)(void *arg, const struct rp_state_result *result);
 
-/* Whose budget a request counts against. Leadership itself never waits for a budget. */
-enum rp_state_share { RP_SHARE_LEADERSHIP, RP_SHARE_LEADER, RP_SHARE_USERS, RP_SHARES };
+/* Whose budget a request counts against, and who is served first when budgets run short: leadership
+ * never waits; the leader, users who submit or cancel, and users who ask each have their own part
+ * and queue, so that none waits behind another's; what waits too long is refused and counted. */
+enum rp_state_share {
+    RP_SHARE_LEADERSHIP,
+    RP_SHARE_LEADER,
+    RP_SHARE_SUBMISSIONS, /* cancellations as well */
+    RP_SHARE_QUERIES,
+    RP_SHARES
+};
 
 struct rp_state_call;
 
