Machines that get no answers, late copies of reports, stale knowledge of the leader

A machine whose reports arrive while answers don't gets no more work (two starts without effect, or a lease that ran out though it was answered), and goes back after 32 s unless it recovers; one of before a takeover is answered no more, so that its lease ends. Copies of older reports get 503 and extend nothing; a machine in no record counts only once it shows our token. A node sends workers to a leader only while its knowledge is fresh, and leaves the load balancer when neither the state service nor another node answers it.

--- a/src/election.c
+++ b/src/election.c
@@ -10,6 +10,7 @@
  * the clock's steps and a turn that ends between the check and the sending. */
 #define DRIFT 0.002
 #define MARGIN_S 0.15
+#define STALE_SLACK_S 2.0 /* beyond the lease's length, after which a leader seen may be gone */
 #define RETRY_S 0.25
 #define TOUCH_S 0.5 /* between renewals: what they are apart is lost when an outage begins */
 
@@ -38,6 +39,15 @@
     return e->at == RP_HOLDING && !rp_ts_reached(now, e->valid_until);
 }
 
+/* A node that is cut from the state service knows of a leader that may be long gone: workers must
+ * not be sent round in circles on such knowledge. */
+const char *rp_election_leader(const struct rp_election *e, struct timespec now) {
+    if (e->at == RP_HOLDING || !e->leader[0] || strcmp(e->leader, e->node) == 0 ||
+        rp_ts_since(now, e->looked_at) > e->ttl_s + STALE_SLACK_S)
+        return NULL;
+    return e->leader;
+}
+
 void rp_election_guard(const struct rp_election *e, json_t *txn) {
     rp_wire_txn_if(txn, RP_KEY_LEADER, e->token);
 }
@@ -111,6 +121,8 @@
 static void looked(void *arg, const struct rp_state_result *r) {
     struct rp_election *e = arg;
     struct rp_item item;
+    if (r->outcome == RP_STATE_OK)
+        e->looked_at = rp_loop_now(e->loop);
     if (r->outcome == RP_STATE_MISSING) {
         e->leader[0] = '\0';
         if (rp_ts_reached(rp_loop_now(e->loop), e->stand_back)) {
--- a/src/election.h
+++ b/src/election.h
@@ -26,6 +26,7 @@
     struct timespec stand_back;  /* until then only the others may claim a free key */
     struct timespec asked;       /* when the request under way was sent */
     char leader[64];             /* who held the key when we last looked, "" for nobody */
+    struct timespec looked_at;   /* when that was */
     struct rp_timer timer;
     rp_election_fn on_elected, on_lost;
     void *arg;
@@ -38,6 +39,8 @@
 void rp_election_stop(struct rp_election *e);
 /* To be asked immediately before every answer or command that needs leadership. */
 bool rp_election_valid(const struct rp_election *e, struct timespec now);
+/* The other node that leads, as far as is known now; NULL when nothing is. */
+const char *rp_election_leader(const struct rp_election *e, struct timespec now);
 /* Until when a lease may be trusted that was asked for, or touched, at `sent`. */
 struct timespec rp_election_trust(struct timespec sent, double ttl_s);
 /* The condition that makes a leader's late transactions die. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -16,7 +16,10 @@
 #define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 16.0
+/* A machine that reports but gets no answers has had its lease's time, and more, to recover. */
+#define DEAF_RETURN_S 32.0
 #define ISOLATED_SHARE 0.6 /* of the machines, silent at the same time */
+#define DOUBTFUL_SHARE 0.3 /* so many at once: the fault may be ours, and none goes back for it */
 #define ISOLATED_S 2.0     /* for so long: this node is cut off rather than they */
 #define ISOLATED_PROVEN_S 10.0
 #define STAND_BACK_S 12.0
@@ -659,10 +662,6 @@
 
 /* ---- what time does to machines ---- */
 
-static bool is_zero(struct timespec t) {
-    return t.tv_sec == 0 && t.tv_nsec == 0;
-}
-
 /* A leader that the workers can't reach, though the state service can, renews its lease and does
  * nothing for anybody. When most machines fall silent together while leadership was provable all
  * along, it gives the key up: another node may be better placed. It also returns no machine then:
@@ -674,16 +673,17 @@
         if (m->session == 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
             continue;
         known++;
-        quiet += rp_ts_since(now, m->last_report) > limit;
+        quiet += rp_machine_deaf(m) || rp_ts_since(now, m->last_report) > limit;
     }
     bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
+    bool many = known >= 4 && (double)quiet >= DOUBTFUL_SHARE * (double)known;
     /* A node cut off from everything can't give the key up either: its lease does that. */
     if (!most || rp_state_failing_s(f->state) > 0 ||
         rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
         f->isolated_since = (struct timespec){0};
-    else if (is_zero(f->isolated_since))
+    else if (rp_ts_zero(f->isolated_since))
         f->isolated_since = now;
-    return most;
+    return many;
 }
 
 static void watch_machine(struct rp_fleet *f, struct rp_machine *m, bool cut_off,
@@ -695,6 +695,8 @@
     case RP_MACHINE_UP:
         if (rp_ts_reached(now, m->held_until))
             rp_machine_enter(f->picture, m, RP_MACHINE_LOST);
+        else if (!cut_off && rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > DEAF_RETURN_S)
+            rp_fleet_return(f, m, "gets no answers");
         else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
             rp_fleet_return(f, m, "taken back");
         else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->emptied) &&
@@ -705,7 +707,7 @@
                                          : "its work fits elsewhere");
         break;
     case RP_MACHINE_LOST:
-        if (!cut_off && rp_ts_since(now, m->held_until) > LOST_GRACE_S && led > LOST_GRACE_S)
+        if (!cut_off && rp_ts_since(now, m->lost_since) > LOST_GRACE_S && led > LOST_GRACE_S)
             rp_fleet_return(f, m, "lost");
         break;
     case RP_MACHINE_BOOTING:
@@ -726,10 +728,10 @@
         f->proven_since = (struct timespec){0};
         return;
     }
-    if (is_zero(f->proven_since))
+    if (rp_ts_zero(f->proven_since))
         f->proven_since = now;
     bool cut_off = isolated(f, now);
-    if (!is_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
+    if (!rp_ts_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
         rp_info("most machines are silent: another node may reach them");
         rp_election_resign(f->election, STAND_BACK_S);
         return;
--- a/src/node.c
+++ b/src/node.c
@@ -13,7 +13,8 @@
 #define PATH_HEALTH "/peer/health"
 #define PATH_STATUS "/status"
 #define HEALTH_S 0.5
-#define DEAF_S 1.0 /* without the state service, before the others are asked how they fare */
+#define ALONE_S 2.5 /* without the state service and without any other node */
+#define DEAF_S 1.0  /* without the state service, before the others are asked how they fare */
 
 static void on_elected(void *arg);
 static void on_lost(void *arg);
@@ -252,6 +253,8 @@
 
 static void health_came(void *arg, const struct rp_answer *answer) {
     struct rp_node *n = arg;
+    if (answer->status == 200)
+        n->peer_heard = rp_loop_now(n->loop);
     json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
     if (json_is_true(json_object_get(v, "state_answers")) && rp_state_failing_s(&n->state) > DEAF_S)
         n->deaf_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
@@ -263,8 +266,13 @@
 static void health_due(void *arg) {
     struct rp_node *n = arg;
     rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
-    if (rp_state_failing_s(&n->state) <= DEAF_S)
+    if (rp_state_failing_s(&n->state) <= DEAF_S) {
+        n->peer_heard = rp_loop_now(n->loop);
         return;
+    }
+    /* Neither the state service nor any other node answers: it is this node that is cut off. */
+    if (n->settings->n_peers > 0 && rp_ts_since(rp_loop_now(n->loop), n->peer_heard) > ALONE_S)
+        n->deaf_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
     for (size_t i = 0; i < n->settings->n_peers; i++)
         n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_HEALTH, NULL, HEALTH_S,
                     health_came, n);
--- a/src/picture.c
+++ b/src/picture.c
@@ -88,10 +88,11 @@
     if (m->state == state)
         return;
     rp_debug("machine %s: %s -> %s", m->name, names[m->state], names[state]);
-    if (state == RP_MACHINE_UP && m->up.tv_sec == 0 && m->up.tv_nsec == 0) {
+    if (state == RP_MACHINE_UP && rp_ts_zero(m->up)) {
         m->up = now;
     }
     if (state == RP_MACHINE_LOST) {
+        m->lost_since = now;
         rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_places);
         rp_machine_session_over(p, m);
     }
@@ -158,9 +159,14 @@
     return room;
 }
 
+bool rp_machine_deaf(const struct rp_machine *m) {
+    return !rp_ts_zero(m->deaf_since);
+}
+
 bool rp_machine_usable(const struct rp_machine *m) {
     return m->state == RP_MACHINE_UP && m->recorded && m->up_recorded && m->token_seen &&
-           !m->noticed && !m->faulty && m->n_foreign == 0 && m->type >= 0 && m->zone >= 0;
+           !m->noticed && !m->faulty && !rp_machine_deaf(m) && m->n_foreign == 0 && m->type >= 0 &&
+           m->zone >= 0;
 }
 
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
--- a/src/picture.h
+++ b/src/picture.h
@@ -29,6 +29,7 @@
     enum rp_place_state state;
     enum rp_task_state task_state;
     enum rp_exit why;
+    uint64_t forget_seq;     /* number of the report whose answer told to forget it */
     uint64_t sent_seq;       /* number of the report whose answer carried the start */
     struct timespec since;   /* planned */
     struct timespec running; /* first seen running */
@@ -73,6 +74,11 @@
     struct timespec notice_end;
     struct timespec rented, up, last_report;
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
+    struct timespec first_answer, last_answer; /* ours; zero: none yet */
+    struct timespec lost_since;
+    unsigned unheard; /* answers in a row that it shows no sign of having got */
+    struct timespec
+        deaf_since; /* its reports come, but our answers don't reach it; zero: they do */
     struct rp_place *places;
     size_t n_places, cap_places;
     struct rp_foreign *foreign;
@@ -126,6 +132,7 @@
 bool rp_picture_job_settled(const struct rp_picture *p, const struct rp_job *job);
 struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m);
 bool rp_machine_usable(const struct rp_machine *m);
+bool rp_machine_deaf(const struct rp_machine *m);
 /* The types, zones and kinds that the job allows. */
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
                        int zone, bool spot);
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -161,7 +161,8 @@
         return false;
     if (m->state == RP_MACHINE_BOOTING)
         return rp_ts_since(now, m->rented) < rp_round_catalog(r)->types[m->type].boot_s * OVERDUE;
-    return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed && !m->emptied;
+    return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed && !m->emptied &&
+           !rp_machine_deaf(m);
 }
 
 /* What the GPU work known now takes of a machine that it fills: a task that takes all GPUs what it
--- a/src/timeutil.h
+++ b/src/timeutil.h
@@ -52,6 +52,11 @@
     return 0;
 }
 
+/* Unset: no such instant. */
+static inline bool rp_ts_zero(struct timespec t) {
+    return t.tv_sec == 0 && t.tv_nsec == 0;
+}
+
 static inline bool rp_ts_reached(struct timespec now, struct timespec due) {
     return rp_ts_cmp(now, due) >= 0;
 }
--- a/src/workers.c
+++ b/src/workers.c
@@ -10,6 +10,10 @@
 /* Drift of both clocks with room to spare, and the steps of timers. */
 #define LEASE_DRIFT 1.002
 #define LEASE_MARGIN_S 0.25
+/* A machine that shows no sign of so many answers in a row doesn't get them. */
+#define UNHEARD_MAX 2
+/* A machine from before the takeover has shown our token by then, if answers reach it. */
+#define TOKEN_PATIENCE_S 8.0
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
@@ -35,8 +39,8 @@
 
 static void not_here(struct rp_workers *w, struct rp_request *req) {
     const struct rp_election *e = w->election;
-    bool other = e->at != RP_HOLDING && e->leader[0] && strcmp(e->leader, e->node) != 0;
-    respond(req, 421, rp_wire_not_here(other ? e->leader : NULL));
+    const char *leader = rp_election_leader(e, rp_loop_now(w->loop));
+    respond(req, 421, rp_wire_not_here(leader));
 }
 
 /* ---- reading the report into the picture ---- */
@@ -144,6 +148,8 @@
         task_exited(w, m, place);
         return;
     }
+    if (place->state == RP_PLACE_SENT)
+        m->unheard = 0;
     rp_place_enter(w->picture, m, place, RP_PLACE_SEEN);
     if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
         job->n_running++;
@@ -163,15 +169,59 @@
         rp_place_stop(place, 0);
 }
 
+/* ---- machines whose reports come, but which our answers don't reach ---- */
+
+/* Such a machine looks like a good one: it reports, and has room. What was started on it would
+ * never settle, so it gets no more work, and goes back unless it recovers (fleet.c). */
+static void turn_deaf(struct rp_workers *w, struct rp_machine *m, const char *sign) {
+    if (rp_machine_deaf(m))
+        return;
+    rp_info("machine %s reports but gets no answers: %s, places=%zu", m->name, sign, m->n_places);
+    m->deaf_since = rp_loop_now(w->loop);
+}
+
+static void unheard(struct rp_workers *w, struct rp_machine *m) {
+    if (++m->unheard >= UNHEARD_MAX)
+        turn_deaf(w, m, "commands have no effect");
+}
+
+/* Its lease ran out although it was answered all along. */
+static void note_session(struct rp_workers *w, struct rp_machine *m) {
+    struct timespec now = rp_loop_now(w->loop);
+    if (!rp_ts_zero(m->last_answer) && rp_ts_since(now, m->last_answer) < w->settings->lease_s / 2)
+        turn_deaf(w, m, "its lease ran out");
+}
+
+/* A session that outlives a lease has been renewed: answers reach the machine again. */
+static void note_hearing(struct rp_workers *w, struct rp_machine *m, bool new_session) {
+    struct timespec now = rp_loop_now(w->loop);
+    if (!rp_machine_deaf(m))
+        return;
+    if (new_session)
+        m->deaf_since = now;
+    else if (rp_ts_since(now, m->deaf_since) > rp_workers_lease_s(w->settings) + 1) {
+        rp_info("machine %s gets answers again", m->name);
+        m->deaf_since = (struct timespec){0};
+        m->unheard = 0;
+    }
+}
+
 /* What the newest report doesn't name is not there: a start in an older answer was dropped, since
  * a worker has one report in flight and never executes an answer it has stopped waiting for. */
 static void settle_missing(struct rp_workers *w, struct rp_machine *m, uint64_t seq) {
+    bool lost_start = false, kept_exit = false;
     for (size_t i = m->n_places; i-- > 0;) {
         struct rp_place *place = &m->places[i];
         bool in_flight = place->state == RP_PLACE_SENT && place->sent_seq >= seq;
-        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight)
+        if (place->marked) {
+            kept_exit |= place->forget_seq > 0 && place->forget_seq < seq;
+        } else if (place->state != RP_PLACE_PLANNED && !in_flight) {
+            lost_start |= place->state == RP_PLACE_SENT;
             rp_place_drop(w->picture, m, i);
+        }
     }
+    if (lost_start || kept_exit)
+        unheard(w, m);
 }
 
 static void take_notice(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
@@ -203,13 +253,15 @@
 }
 
 static void read_report(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
-    if (r->session > m->session && m->session > 0)
+    bool new_session = r->session > m->session && m->session > 0;
+    if (new_session) {
         rp_machine_session_over(w->picture, m);
+        note_session(w, m);
+    }
     m->session = r->session;
     m->seq = r->seq;
     m->last_report = rp_loop_now(w->loop);
-    /* Late rather than early: the lease may have been renewed by an answer sent just now. */
-    m->held_until = rp_ts_after(m->last_report, rp_workers_lease_s(w->settings));
+    note_hearing(w, m, new_session);
     strcpy(m->addr, r->addr);
     m->token_seen = r->token == w->election->token;
     m->n_foreign = 0;
@@ -259,8 +311,10 @@
         const char *job = place->job->spec.id;
         if (place->state == RP_PLACE_EXITED) {
             /* A result must be durable before the worker may lose it. */
-            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task))
+            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task)) {
                 command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
+                place->forget_seq = m->seq;
+            }
         } else if (place->stop && place->state != RP_PLACE_PLANNED) {
             bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
             if (saving)
@@ -307,13 +361,21 @@
         not_here(w, req);
         return;
     }
-    if (m)
+    if (m) {
         m->held_until = rp_ts_after(now, rp_workers_lease_s(w->settings));
+        m->last_answer = now;
+        if (rp_ts_zero(m->first_answer))
+            m->first_answer = now;
+    }
     respond(req, 200, rp_wire_report_answer(w->election->token, b ? b->list : NULL, b ? b->n : 0));
 }
 
+/* The machine of the report; NULL if nobody's record names it and it may be a copy of a report sent
+ * long ago, by a machine that is gone: only one that shows our token proves that there is one. */
 static struct rp_machine *machine_of(struct rp_workers *w, const struct rp_report *r) {
     struct rp_machine *m = rp_machine_find(w->picture, r->machine);
+    if (!m && r->token != w->election->token)
+        return NULL;
     if (!m) {
         /* Nobody's record names it, so no leader has ever started anything on it. */
         rp_info("machine %s reports and is in no record: adopted", r->machine);
@@ -323,12 +385,25 @@
     return m;
 }
 
+/* A machine that may hold tasks of an earlier leader and shows no sign of our answers is answered
+ * no more: so its lease ends, and with it what it holds. Once it is lost it may come back. */
+static bool starved(const struct rp_workers *w, const struct rp_machine *m) {
+    return m->state == RP_MACHINE_UNKNOWN && !rp_ts_zero(m->first_answer) &&
+           rp_ts_since(rp_loop_now(w->loop), m->first_answer) > TOKEN_PATIENCE_S;
+}
+
 static void handle(struct rp_workers *w, struct rp_request *req, const struct rp_report *r) {
     struct rp_machine *m = machine_of(w, r);
+    if (!m) {
+        answer(w, req, NULL, NULL);
+        return;
+    }
     bool old = r->session < m->session || (r->session == m->session && r->seq <= m->seq);
     if (old) {
+        /* A copy, late by seconds or by many leases: it proves nothing, and its answer renews no
+         * lease, for nobody waits for it. */
         w->n_stale++;
-        answer(w, req, m, NULL);
+        respond(req, 503, rp_wire_error("a newer report is known"));
         return;
     }
     size_t places = m->n_places;
@@ -336,6 +411,10 @@
     read_report(w, m, r);
     if (!m->recorded)
         rp_fleet_adopt(w->fleet, m);
+    if (starved(w, m)) {
+        respond(req, 503, rp_wire_error("no answer seems to reach this machine"));
+        return;
+    }
     if (m->state == RP_MACHINE_RETURNING) {
         answer(w, req, m, NULL);
         return;
