Tests of the added rules: known and begun after troubles, served, hearing, copies, lonely nodes

tests/sim runs three nodes and five; after troubles every accepted job must be answered about within 75 s and begin within 240 s, half of each class and of the largest jobs be served. New troubles: muted machines, copies up to five leases late, nodes without state service and peers, returns within 50 to 500 ms. Broken worlds: lost polls, large jobs that never begin, copies that look new, a state service without conditions under lonely nodes. A muted worker tries other nodes between its reports, so the first rule (two starts without effect) missed it: only a report that follows an answer in time proves hearing now.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -18,6 +18,7 @@
 #define LOST_GRACE_S 16.0
 /* A machine that reports but gets no answers has had its lease's time, and more, to recover. */
 #define DEAF_RETURN_S 32.0
+#define DEAF_SURE_S 5.0
 #define ISOLATED_SHARE 0.6 /* of the machines, silent at the same time */
 #define DOUBTFUL_SHARE 0.3 /* so many at once: the fault may be ours, and none goes back for it */
 #define ISOLATED_S 2.0     /* for so long: this node is cut off rather than they */
@@ -662,6 +663,11 @@
 
 /* ---- what time does to machines ---- */
 
+/* How long nothing has shown that the machine gets our answers. */
+static double deaf_for(const struct rp_machine *m, struct timespec now) {
+    return rp_machine_deaf(m) ? rp_ts_since(now, m->deaf_since) : 0;
+}
+
 /* A leader that the workers can't reach, though the state service can, renews its lease and does
  * nothing for anybody. When most machines fall silent together while leadership was provable all
  * along, it gives the key up: another node may be better placed. It also returns no machine then:
@@ -673,7 +679,7 @@
         if (m->session == 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
             continue;
         known++;
-        quiet += rp_machine_deaf(m) || rp_ts_since(now, m->last_report) > limit;
+        quiet += deaf_for(m, now) > DEAF_SURE_S || rp_ts_since(now, m->last_report) > limit;
     }
     bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
     bool many = known >= 4 && (double)quiet >= DOUBTFUL_SHARE * (double)known;
@@ -707,7 +713,9 @@
                                          : "its work fits elsewhere");
         break;
     case RP_MACHINE_LOST:
-        if (!cut_off && rp_ts_since(now, m->lost_since) > LOST_GRACE_S && led > LOST_GRACE_S)
+        if (!cut_off && deaf_for(m, now) > DEAF_RETURN_S)
+            rp_fleet_return(f, m, "gets no answers");
+        else if (!cut_off && rp_ts_since(now, m->lost_since) > LOST_GRACE_S && led > LOST_GRACE_S)
             rp_fleet_return(f, m, "lost");
         break;
     case RP_MACHINE_BOOTING:
--- a/src/picture.h
+++ b/src/picture.h
@@ -29,7 +29,6 @@
     enum rp_place_state state;
     enum rp_task_state task_state;
     enum rp_exit why;
-    uint64_t forget_seq;     /* number of the report whose answer told to forget it */
     uint64_t sent_seq;       /* number of the report whose answer carried the start */
     struct timespec since;   /* planned */
     struct timespec running; /* first seen running */
@@ -76,7 +75,6 @@
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
     struct timespec first_answer, last_answer; /* ours; zero: none yet */
     struct timespec lost_since;
-    unsigned unheard; /* answers in a row that it shows no sign of having got */
     struct timespec
         deaf_since; /* its reports come, but our answers don't reach it; zero: they do */
     struct rp_place *places;
--- a/src/workers.c
+++ b/src/workers.c
@@ -10,8 +10,8 @@
 /* Drift of both clocks with room to spare, and the steps of timers. */
 #define LEASE_DRIFT 1.002
 #define LEASE_MARGIN_S 0.25
-/* A machine that shows no sign of so many answers in a row doesn't get them. */
-#define UNHEARD_MAX 2
+/* A worker waits so long for an answer, then it goes to another node (PROTOCOL). */
+#define ANSWER_WAIT_S 4.0
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
 
@@ -148,8 +148,6 @@
         task_exited(w, m, place);
         return;
     }
-    if (place->state == RP_PLACE_SENT)
-        m->unheard = 0;
     rp_place_enter(w->picture, m, place, RP_PLACE_SEEN);
     if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
         job->n_running++;
@@ -171,57 +169,35 @@
 
 /* ---- machines whose reports come, but which our answers don't reach ---- */
 
-/* Such a machine looks like a good one: it reports, and has room. What was started on it would
- * never settle, so it gets no more work, and goes back unless it recovers (fleet.c). */
-static void turn_deaf(struct rp_workers *w, struct rp_machine *m, const char *sign) {
-    if (rp_machine_deaf(m))
-        return;
-    rp_info("machine %s reports but gets no answers: %s, places=%zu", m->name, sign, m->n_places);
-    m->deaf_since = rp_loop_now(w->loop);
-}
-
-static void unheard(struct rp_workers *w, struct rp_machine *m) {
-    if (++m->unheard >= UNHEARD_MAX)
-        turn_deaf(w, m, "commands have no effect");
-}
-
-/* Its lease ran out although it was answered all along. */
-static void note_session(struct rp_workers *w, struct rp_machine *m) {
+/* Such a machine looks like a good one: now and then it reports, with room and a newer session, and
+ * what is started on it vanishes. A worker that got an answer stays with this node and reports
+ * again with the next number within the time that it would have waited; one that got none is
+ * elsewhere by then. Until that shows, the machine gets no work, and it goes back in the end
+ * (fleet.c). */
+static void note_hearing(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
     struct timespec now = rp_loop_now(w->loop);
-    if (!rp_ts_zero(m->last_answer) && rp_ts_since(now, m->last_answer) < w->settings->lease_s / 2)
-        turn_deaf(w, m, "its lease ran out");
-}
-
-/* A session that outlives a lease has been renewed: answers reach the machine again. */
-static void note_hearing(struct rp_workers *w, struct rp_machine *m, bool new_session) {
-    struct timespec now = rp_loop_now(w->loop);
-    if (!rp_machine_deaf(m))
-        return;
-    if (new_session)
-        m->deaf_since = now;
-    else if (rp_ts_since(now, m->deaf_since) > rp_workers_lease_s(w->settings) + 1) {
-        rp_info("machine %s gets answers again", m->name);
+    bool first = m->session == 0;
+    bool follows = r->session == m->session && r->seq == m->seq + 1 &&
+                   rp_ts_since(now, m->last_report) < ANSWER_WAIT_S;
+    if (first || follows) {
+        if (rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > ANSWER_WAIT_S)
+            rp_info("machine %s gets answers again", m->name);
         m->deaf_since = (struct timespec){0};
-        m->unheard = 0;
+    } else if (!rp_machine_deaf(m)) {
+        m->deaf_since = now;
+        rp_debug("machine %s: nothing shows that it gets answers", m->name);
     }
 }
 
 /* What the newest report doesn't name is not there: a start in an older answer was dropped, since
  * a worker has one report in flight and never executes an answer it has stopped waiting for. */
 static void settle_missing(struct rp_workers *w, struct rp_machine *m, uint64_t seq) {
-    bool lost_start = false, kept_exit = false;
     for (size_t i = m->n_places; i-- > 0;) {
         struct rp_place *place = &m->places[i];
         bool in_flight = place->state == RP_PLACE_SENT && place->sent_seq >= seq;
-        if (place->marked) {
-            kept_exit |= place->forget_seq > 0 && place->forget_seq < seq;
-        } else if (place->state != RP_PLACE_PLANNED && !in_flight) {
-            lost_start |= place->state == RP_PLACE_SENT;
+        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight)
             rp_place_drop(w->picture, m, i);
-        }
     }
-    if (lost_start || kept_exit)
-        unheard(w, m);
 }
 
 static void take_notice(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
@@ -253,15 +229,12 @@
 }
 
 static void read_report(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
-    bool new_session = r->session > m->session && m->session > 0;
-    if (new_session) {
+    note_hearing(w, m, r);
+    if (r->session > m->session && m->session > 0)
         rp_machine_session_over(w->picture, m);
-        note_session(w, m);
-    }
     m->session = r->session;
     m->seq = r->seq;
     m->last_report = rp_loop_now(w->loop);
-    note_hearing(w, m, new_session);
     strcpy(m->addr, r->addr);
     m->token_seen = r->token == w->election->token;
     m->n_foreign = 0;
@@ -311,10 +284,8 @@
         const char *job = place->job->spec.id;
         if (place->state == RP_PLACE_EXITED) {
             /* A result must be durable before the worker may lose it. */
-            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task)) {
+            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task))
                 command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
-                place->forget_seq = m->seq;
-            }
         } else if (place->stop && place->state != RP_PLACE_PLANNED) {
             bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
             if (saving)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,5 +1,6 @@
 #include "sim.h"
 
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,11 @@
 #define REPORT_S 2.0
 #define GANG_WAIT_S 40.0
 #define GANG_PEER_S 5.0
+#define FORGOTTEN_S                                                                                \
+    75.0              /* after troubles, a job that no question about is answered is forgotten     \
+                       */
+#define BEGIN_S 240.0 /* and every one begins by then */
+#define LARGE 40      /* tasks of the largest jobs */
 
 enum event_kind { EV_REQUEST, EV_ANSWER, EV_REPORT, EV_REPORT_ANSWER, EV_USER };
 
@@ -374,6 +380,7 @@
     const struct rp_job_spec *spec = &job->spec;
     double cpus = 0;
     s->n_starts++;
+    s->jobs[t->job_index].begun = true;
     if (job->told_cancelled && s->now > job->cancelled_at + CANCEL_S)
         broken(s, "ran_cancelled: %s/%u starts", t->job, t->index);
     if (w->spot && !spec->spot)
@@ -436,6 +443,8 @@
         task_exit(w, t, "no_room");
     else
         t->ready = s->now + 0.5 + uniform(s);
+    if (s->breakage == SIM_LARGE_NEVER_BEGIN && s->jobs[j].spec.n_tasks >= LARGE)
+        t->ready = 1e9;
 }
 
 static void worker_stop(struct sim *s, struct sim_worker *w, struct sim_task *t, double grace) {
@@ -581,6 +590,17 @@
     }
 }
 
+/* Of a broken world: an old report passes for one of the next session. */
+static void make_newer(struct sim_event *copy) {
+    json_t *v = json_loads(copy->body, 0, NULL);
+    json_object_set_new(v, "stint",
+                        json_integer(json_integer_value(json_object_get(v, "stint")) + 1));
+    json_object_set_new(v, "lifts", json_array());
+    free(copy->body);
+    copy->body = json_dumps(v, JSON_COMPACT);
+    json_decref(v);
+}
+
 static void worker_send(struct sim *s, int index) {
     struct sim_worker *w = &s->workers[index];
     struct sim_event *e = event_new(s, EV_REPORT, delay(s));
@@ -597,12 +617,18 @@
         e->due = s->now + 1e9;
     else if (chance(s, s->faults.late))
         e->due = s->now + 5 + 60 * uniform(s);
-    if (chance(s, s->faults.repeat)) {
-        struct sim_event *copy = event_new(s, EV_REPORT, 0.1 + 40 * uniform(s));
+    bool far = chance(s, s->faults.copies);
+    if (far || chance(s, s->faults.repeat)) {
+        struct sim_event *copy =
+            event_new(s, EV_REPORT, far ? 1 + 5 * LEASE_S * uniform(s) : 0.1 + 40 * uniform(s));
         copy->body = strdup(e->body);
+        if (s->breakage == SIM_COPIES_LOOK_NEW)
+            make_newer(copy);
         copy->worker = index;
         copy->node = e->node;
         copy->flight = 0;
+        if (far)
+            copy->node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
     }
 }
 
@@ -617,7 +643,7 @@
         w->session = 1;
         w->answered_sent = s->now;
         w->next = s->now;
-        w->node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+        w->node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
     }
     if (w->taken_at > 0 && s->now > w->taken_at) {
         w->used = w->alive = false;
@@ -636,7 +662,7 @@
         task_step(s, w, &w->tasks[i]);
     if (w->in_flight && s->now > w->sent + 4) {
         w->in_flight = false;
-        w->node = (w->node + 1) % SIM_NODES;
+        w->node = (w->node + 1) % s->n_nodes;
         w->next = s->now + 1;
     }
     if (!w->in_flight && (s->now >= w->next || (w->changed && s->now > w->sent + 0.5)))
@@ -646,7 +672,7 @@
 static void report_answered(struct sim *s, const struct sim_event *e) {
     struct sim_worker *w = &s->workers[e->worker];
     if (!w->used || !w->alive || !w->in_flight || e->flight != w->flight || s->now > w->sent + 4 ||
-        s->now < w->hung_until)
+        s->now < w->hung_until || s->now < w->mute_until)
         return;
     w->in_flight = false;
     w->next = s->now + 1;
@@ -660,7 +686,7 @@
     } else {
         const char *leader = json_string_value(json_object_get(body, "foreman"));
         int node = leader && e->status == 421 ? atoi(leader + strlen("n")) : -1;
-        w->node = node >= 0 && node != w->node ? node : (w->node + 1) % SIM_NODES;
+        w->node = node >= 0 && node != w->node ? node : (w->node + 1) % s->n_nodes;
         if (node >= 0)
             w->next = s->now + 0.2;
     }
@@ -806,6 +832,14 @@
         answer_call(s, e, 0, NULL);
 }
 
+/* A node that has lost the state service and the other nodes reaches neither; a request already
+ * under way may still be carried out. */
+static bool cut_off(const struct sim *s, const struct sim_event *e) {
+    bool peer = strncmp(e->addr, "peer", 4) == 0;
+    return s->now < s->nodes[e->node].alone_until ||
+           (peer && s->now < s->nodes[e->addr[strlen("peer")] - '0'].alone_until);
+}
+
 /* Returns true when the event is over. */
 static bool request_arrives(struct sim *s, struct sim_event *e) {
     json_t *out = NULL, *body;
@@ -817,6 +851,10 @@
     }
     if (watch && e->answered)
         return true;
+    if (!e->answered && strcmp(e->addr, "cloud") != 0 && cut_off(s, e)) {
+        e->due = e->deadline + STEP_S; /* silence: the time-out answers */
+        return false;
+    }
     if (watch) {
         bool cut = s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until;
         out = cut ? NULL : state_news(s, e->target);
@@ -884,7 +922,7 @@
 }
 
 int sim_leader(const struct sim *s) {
-    for (int i = 0; i < SIM_NODES; i++)
+    for (int i = 0; i < s->n_nodes; i++)
         if (s->nodes[i].alive && s->nodes[i].node->at == RP_NODE_LEADING)
             return i;
     return -1;
@@ -906,7 +944,7 @@
 static void user_send(struct sim *s, int job, int op) {
     static const char *const ends[] = {"", "", "/cancel"};
     char target[128];
-    int node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+    int node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
     snprintf(target, sizeof target, op == 0 ? "/v1/jobs%.0s%.0s" : "/v1/jobs/%s%s",
              s->jobs[job].spec.id, ends[op]);
     node_receive(s, node, op == 1 ? "GET" : "POST", target, op == 0 ? s->jobs[job].body : "",
@@ -921,6 +959,8 @@
 
 static void user_answered(struct sim *s, const struct sim_event *e) {
     struct sim_job *job = &s->jobs[e->worker];
+    if (s->breakage == SIM_POLLS_GET_LOST && e->worker == 0 && job->accepted)
+        return;
     json_t *body = json_loads(e->body, 0, NULL);
     const char *word = json_string_value(json_object_get(body, "tension"));
     if (e->status == 404 && job->accepted)
@@ -928,6 +968,7 @@
     if ((e->status == 400 || e->status == 422) && job->accepted)
         broken(s, "forgotten: %s gets %d", job->spec.id, e->status);
     if (word) {
+        job->known_at = s->now;
         if (!job->accepted)
             job->accepted_at = s->now;
         job->accepted = true;
@@ -1040,17 +1081,31 @@
 
 static void trouble(struct sim *s) {
     const struct sim_faults *f = &s->faults;
-    int node = (int)gsl_rng_uniform_int(s->rng, SIM_NODES);
+    int node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
     struct sim_worker *w = &s->workers[gsl_rng_uniform_int(s->rng, SIM_WORKERS)];
     if (every(s, f->crash_s))
         sim_crash(s, node, chance(s, 0.3) ? 0.1 : 3);
     if (every(s, f->crash_s * 4))
-        for (int i = 0; i < SIM_NODES; i++)
+        for (int i = 0; i < s->n_nodes; i++)
             sim_crash(s, i, 0.1 + 4 * uniform(s));
     if (every(s, f->outage_s))
         s->outage_until = s->now + 1 + 19 * uniform(s);
     if (every(s, f->deaf_s))
         s->nodes[node].deaf_until = s->now + 1 + 20 * uniform(s);
+    if (every(s, f->alone_s))
+        s->nodes[node].alone_until = s->now + 3 + 25 * uniform(s);
+    if (every(s, f->mute_s / 8))
+        w->mute_until = s->now + 3 + 50 * uniform(s);
+    if (every(s, f->blink_s))
+        sim_crash(s, node, 0.05 + 0.45 * uniform(s));
+    if (every(s, f->blink_s / 4) && w->used && w->up) {
+        w->n_tasks = 0; /* the machine was off for a moment: a new session, nothing on it */
+        w->session++;
+        w->answered_sent = s->now;
+        w->in_flight = false;
+        w->flight++;
+        w->next = s->now + 0.05 + 0.45 * uniform(s);
+    }
     if (every(s, f->stall_s))
         s->nodes[node].stalled_until = s->now + 12 * uniform(s);
     if (every(s, f->hang_s / 8))
@@ -1085,13 +1140,57 @@
         }
 }
 
+/* The users' addition to the rules. */
+static void check_known(struct sim *s) {
+    for (int i = 0; s->calm_since > 0 && i < s->n_jobs; i++) {
+        const struct sim_job *job = &s->jobs[i];
+        if (!job->accepted || job->cancel_asked || job->told_done)
+            continue;
+        double known = fmax(job->known_at, s->calm_since);
+        double since = fmax(job->accepted_at, s->calm_since);
+        if (s->now > known + FORGOTTEN_S)
+            broken(s, "forgotten: %s, nothing answered for %.0f s", job->spec.id, FORGOTTEN_S);
+        if (!job->begun && s->now > since + BEGIN_S)
+            broken(s, "not_begun: %s of %u tasks", job->spec.id, job->spec.n_tasks);
+    }
+}
+
+void sim_check_served(struct sim *s) {
+    /* One team, two classes; the largest are those of LARGE tasks and more. */
+    unsigned asked[3] = {0}, served[3] = {0};
+    for (int i = 0; i < s->n_jobs; i++) {
+        const struct sim_job *job = &s->jobs[i];
+        if (!job->accepted || job->cancel_asked)
+            continue;
+        int kinds[2] = {job->spec.kind == RP_GANG, job->spec.n_tasks >= LARGE ? 2 : -1};
+        for (int k = 0; k < 2; k++)
+            if (kinds[k] >= 0) {
+                asked[kinds[k]]++;
+                served[kinds[k]] += job->told_done;
+            }
+    }
+    for (int k = 0; k < 3; k++)
+        if (served[k] * 2 < asked[k])
+            broken(s, "not_served: %u of %u, kind %d", served[k], asked[k], k);
+}
+
+void sim_calm(struct sim *s) {
+    s->faults = (struct sim_faults){0};
+    s->calm_since = s->now;
+    s->outage_until = 0;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->nodes[i].deaf_until = s->nodes[i].alone_until = 0;
+    for (int i = 0; i < SIM_WORKERS; i++)
+        s->workers[i].mute_until = 0;
+}
+
 void sim_run(struct sim *s, double seconds) {
     double end = s->now + seconds;
     while (s->now < end && !s->broken[0]) {
         s->now += STEP_S;
         trouble(s);
         leases_step(s);
-        for (int i = 0; i < SIM_NODES; i++)
+        for (int i = 0; i < s->n_nodes; i++)
             node_step(s, i);
         for (int i = 0; i < SIM_WORKERS; i++)
             worker_step(s, i);
@@ -1099,6 +1198,7 @@
             user_step(s, i);
         happen(s);
         check_cancelled(s);
+        check_known(s);
     }
 }
 
@@ -1112,32 +1212,33 @@
 static const char settings_text[] =
     "{\"node_name\":\"n%d\",\"location\":\"a\",\"client_listen\":\"10.0.0.1:1\",\"peer_listen\":"
     "\"10.0.0.1:2\",\"seeds\":[%s],\"external\":{\"cloud\":\"cloud\",\"state\":\"state\"},"
-    "\"params\":{\"nodes\":3,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
+    "\"params\":{\"nodes\":%d,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
     "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2,"
     "\"lease_s\":14,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":39},\"state\":{\"rps\":200,"
     "\"write_rps\":20,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":5,\"list_lag_s\":3},"
     "\"machine_limits\":{\"cpu_share\":0.1,\"mem_mb\":64,\"max_connections\":800}}}";
 
-struct sim *sim_new(unsigned long seed, const struct sim_faults *faults,
-                    enum sim_breakage breakage) {
+struct sim *sim_new(unsigned long seed, const struct sim_faults *faults, enum sim_breakage breakage,
+                    int n_nodes) {
     struct sim *s = calloc(1, sizeof *s);
     if (!s)
         abort();
     s->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(s->rng, seed);
+    s->n_nodes = n_nodes;
     s->faults = *faults;
     s->breakage = breakage;
     s->log = json_array();
     s->rentals = json_object();
-    for (int i = 0; i < SIM_NODES; i++) {
+    for (int i = 0; i < s->n_nodes; i++) {
         char *text;
-        char peers[512] = "";
-        for (int p = 0; p < SIM_NODES; p++)
+        char peers[1024] = "";
+        for (int p = 0; p < s->n_nodes; p++)
             if (p != i)
                 sprintf(peers + strlen(peers),
                         "%s{\"node_name\":\"n%d\",\"location\":\"a\",\"addr\":\"peer%d\"}",
                         *peers ? "," : "", p, p);
-        if (asprintf(&text, settings_text, i, peers) < 0 ||
+        if (asprintf(&text, settings_text, i, peers, s->n_nodes) < 0 ||
             rp_settings_parse(&s->settings[i], text, "settings", stderr))
             abort();
         free(text);
@@ -1149,7 +1250,7 @@
 }
 
 void sim_free(struct sim *s) {
-    for (int i = 0; i < SIM_NODES; i++) {
+    for (int i = 0; i < s->n_nodes; i++) {
         sim_crash(s, i, 1e9);
         rp_settings_free(&s->settings[i]);
     }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -8,7 +8,7 @@
 #include <jansson.h>
 #include "node.h"
 
-#define SIM_NODES 3
+#define SIM_NODES_MAX 5
 #define SIM_WORKERS 64
 #define SIM_TASKS 64 /* on one machine */
 #define SIM_JOBS 64
@@ -30,6 +30,10 @@
     double stall_s;    /* mean time between stalls of some node */
     double take_s;     /* mean time between takings of some spot machine, most with notice */
     double task_error; /* chance that a task fails */
+    double copies;     /* chance that a report's copy comes, seconds to several leases late */
+    double mute_s;  /* mean time until some machine's answers stop coming, though its reports go */
+    double alone_s; /* mean time until a node loses state service and nodes, not the workers */
+    double blink_s; /* mean time between ends of processes and machines that are back at once */
 };
 
 /* Deliberately broken worlds, to show that the checks can fail. */
@@ -37,7 +41,10 @@
     SIM_SOUND,
     SIM_WORKERS_KEEP_TASKS, /* a lease's end kills nothing */
     SIM_STATE_IGNORES_CONDITIONS,
-    SIM_WORKERS_IGNORE_STOPS /* cancelled tasks go on */
+    SIM_WORKERS_IGNORE_STOPS, /* cancelled tasks go on */
+    SIM_COPIES_LOOK_NEW,      /* copies of reports carry a number above all others */
+    SIM_POLLS_GET_LOST,       /* no question about the first job is answered */
+    SIM_LARGE_NEVER_BEGIN     /* tasks of the largest jobs fetch their image for ever */
 };
 
 struct sim_task {
@@ -57,7 +64,7 @@
     char name[RP_TEXT_MAX];
     int type, zone;
     bool spot;
-    double rented, boots, hung_until;
+    double rented, boots, hung_until, mute_until;
     double taken_at; /* 0: not to be taken */
     uint64_t session, seq, token;
     double answered_sent; /* when the last answered report was sent */
@@ -74,7 +81,8 @@
     bool used;
     struct rp_job_spec spec;
     char *body;
-    bool accepted, told_done, told_cancelled, cancel_asked;
+    bool accepted, told_done, told_cancelled, cancel_asked, begun;
+    double known_at; /* when a question about it was last answered */
     double cancelled_at, told_at, accepted_at, poll_at, submit_at, cancel_at;
     bool done[SIM_JOB_TASKS];
     bool faulty;
@@ -86,6 +94,7 @@
     struct rp_loop loop;
     struct rp_node *node;
     double drift, offset, back, stalled_until, deaf_until;
+    double alone_until; /* cut from the state service and the other nodes */
 };
 
 struct sim_key {
@@ -104,10 +113,12 @@
 struct sim {
     gsl_rng *rng;
     double now;
+    int n_nodes;
     struct sim_faults faults;
+    double calm_since; /* all troubles are over, 0: they aren't */
     enum sim_breakage breakage;
-    struct rp_settings settings[SIM_NODES];
-    struct sim_node nodes[SIM_NODES];
+    struct rp_settings settings[SIM_NODES_MAX];
+    struct sim_node nodes[SIM_NODES_MAX];
     struct sim_worker workers[SIM_WORKERS];
     struct sim_job jobs[SIM_JOBS];
     int n_jobs;
@@ -126,8 +137,13 @@
     unsigned long n_starts, n_done_jobs, n_changes, n_elections;
 };
 
-struct sim *sim_new(unsigned long seed, const struct sim_faults *faults,
-                    enum sim_breakage breakage);
+struct sim *sim_new(unsigned long seed, const struct sim_faults *faults, enum sim_breakage breakage,
+                    int n_nodes);
+/* Ends all troubles: from now on every accepted job must be known and begin in time. */
+void sim_calm(struct sim *s);
+/* At the end of a day: notes a broken rule if under half of a class or of its largest jobs has been
+ * served. */
+void sim_check_served(struct sim *s);
 void sim_free(struct sim *s);
 /* Lets the world go on; stops early when a rule breaks. */
 void sim_run(struct sim *s, double seconds);
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -1,4 +1,4 @@
-/* Leadership's arithmetic and the loop's timers. */
+/* Leadership's arithmetic, the loop's timers, budgets. */
 #include "test.h"
 
 #include "bucket.h"
@@ -73,10 +73,84 @@
     assert_true(rp_bucket_has(&b, 1, rp_ts(105)));
 }
 
+/* Knowledge of a leader goes stale: a node cut from the state service sent workers round in
+ * circles. */
+static void stale_leader_is_not_named(void **state) {
+    struct rp_election e = {
+        .at = RP_FOLLOWING, .node = "n0", .leader = "n1", .ttl_s = 10, .looked_at = rp_ts(50)};
+    (void)state;
+    assert_string_equal(rp_election_leader(&e, rp_ts(55)), "n1");
+    assert_null(rp_election_leader(&e, rp_ts(63)));
+    e.at = RP_HOLDING;
+    assert_null(rp_election_leader(&e, rp_ts(51)));
+}
+
+/* A state service that keeps what it is asked. */
+struct asked {
+    int reads, writes;
+    rp_answer_fn fn[64];
+    void *arg[64];
+};
+
+static void keep_call(void *ctx, const char *addr, const char *method, const char *target,
+                      const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    struct asked *a = ctx;
+    (void)addr, (void)target, (void)body, (void)timeout_s;
+    assert_true(a->reads + a->writes < 64);
+    a->fn[a->reads + a->writes] = fn;
+    a->arg[a->reads + a->writes] = arg;
+    if (strcmp(method, "POST") == 0)
+        a->writes++;
+    else
+        a->reads++;
+}
+
+static void count_refusal(void *arg, const struct rp_state_result *r) {
+    *(int *)arg += r->outcome == RP_STATE_REFUSED;
+}
+
+static json_t *one_write(void) {
+    return json_pack("{s:[],s:[{s:s,s:{}}]}", "when", "then", "write", "a/b", "v");
+}
+
+/* On five nodes submissions stood behind polls in one queue, and each node let less than two
+ * through at once. Each has its own queue, a burst passes, and what waits too long is refused. */
+static void queries_dont_delay_submissions(void **state) {
+    struct rp_loop loop;
+    struct rp_state_client c;
+    struct asked asked = {0};
+    struct rp_net net = {.ctx = &asked, .call = keep_call};
+    int refused = 0;
+    (void)state;
+    assert_int_equal(rp_loop_init(&loop, true), 0);
+    loop.virtual_now = rp_ts(100);
+    rp_state_client_init(&c, &loop, net, "state", 200, 20, 5, 0.6);
+    for (int i = 0; i < 200; i++)
+        rp_state_get(&c, RP_SHARE_QUERIES, "a/b", count_refusal, &refused);
+    assert_true(asked.reads < 40);
+    for (int i = 0; i < 5; i++)
+        rp_state_txn(&c, RP_SHARE_SUBMISSIONS, one_write(), count_refusal, &refused);
+    assert_int_equal(asked.writes, 5);
+    for (int i = 0; i < 20; i++)
+        rp_state_txn(&c, RP_SHARE_SUBMISSIONS, one_write(), count_refusal, &refused);
+    assert_int_equal(asked.writes, 5);
+    assert_int_equal(refused, 0);
+    for (int i = 0; i < 50; i++)
+        rp_loop_advance(&loop, rp_ts(100 + i * 0.02));
+    assert_true(refused > 150);
+    assert_int_equal(c.n_shed, refused);
+    for (int i = 0; i < asked.reads + asked.writes; i++)
+        asked.fn[i](asked.arg[i], &(struct rp_answer){.status = 404, .body = ""});
+    rp_state_client_close(&c);
+    rp_loop_close(&loop);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(trust_ends_before_the_lease),
                                        cmocka_unit_test(holding_alone_is_not_enough),
                                        cmocka_unit_test(timers_in_order),
-                                       cmocka_unit_test(bucket_keeps_its_rate)};
+                                       cmocka_unit_test(bucket_keeps_its_rate),
+                                       cmocka_unit_test(stale_leader_is_not_named),
+                                       cmocka_unit_test(queries_dont_delay_submissions)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -256,6 +256,89 @@
     gsl_rng_free(rng);
 }
 
+/* Under a load that lasts, those about to be late took the room of those that could be in time: the
+ * largest is given up instead, and its first task begins all the same. */
+static void gives_up_the_largest(void **state) {
+    enum { MACHINES = 40 };
+    struct rp_plan_machine m[MACHINES];
+    struct rp_plan_group g[] = {group(4000, 1, 60), group(1, 1, 60), group(300, 1, 60),
+                                group(20, 1, 60)};
+    struct rp_plan p;
+    (void)state;
+    for (int i = 0; i < MACHINES; i++)
+        m[i] = machine(0, 8, 8);
+    for (int i = 0; i < 4; i++)
+        g[i].slack_s = 100;
+    g[0].slack_s = 10; /* about to be late, and far too large to be in time */
+    g[1].begin = true; /* the first task of another large one */
+    struct rp_plan_input in = input(NULL, 0, m, MACHINES, g, 4);
+    rp_plan_by(&in, (struct rp_heuristic){RP_ESW, RP_SM}, &p);
+    uint32_t placed[4] = {0};
+    for (size_t i = 0; i < p.n_puts; i++)
+        placed[p.puts[i].group] += p.puts[i].count;
+    assert_true(p.short_of_room[0] && !p.short_of_room[1]);
+    assert_int_equal(placed[1], 1);
+    assert_int_equal(placed[2], 299);
+    assert_int_equal(placed[3], 20);
+    assert_int_equal(placed[0], 0);
+    rp_plan_free(&p);
+    /* With time enough for all, nothing is given up. */
+    for (int i = 0; i < 4; i++)
+        g[i].slack_s = 2000;
+    rp_plan_by(&in, (struct rp_heuristic){RP_ESW, RP_SM}, &p);
+    assert_false(p.short_of_room[0]);
+    rp_plan_free(&p);
+}
+
+/* A machine kept for a gang is for nobody else; the gang itself starts once all of them have room.
+ */
+static void kept_machines(void **state) {
+    struct rp_plan_machine m[] = {machine(0, 8, 8), machine(0, 8, 0), machine(0, 8, 8)};
+    struct rp_plan_group g[] = {group(2, 8, 50), group(5, 2, 50)};
+    struct rp_plan_input in = input(NULL, 0, m, 3, g, 2);
+    struct rp_plan p;
+    int gang, other;
+    (void)state;
+    g[0].kind = RP_GANG;
+    g[0].held = true;
+    g[0].ref = &gang;
+    g[1].ref = &other;
+    m[0].kept = m[1].kept = &gang;
+    m[2].room.cpus = m[2].later.cpus = 6;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 1, 0) + put_on(&p, 1, 1), 0);
+    assert_int_equal(put_on(&p, 1, 2), 3);
+    assert_int_equal(put_on(&p, 0, 0), 0);
+    rp_plan_free(&p);
+    m[1].room.cpus = m[1].later.cpus = 8;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 0, 0) + put_on(&p, 0, 1), 2);
+    assert_int_equal(put_on(&p, 1, 2), 3);
+    rp_plan_free(&p);
+}
+
+/* Work without GPUs takes what GPU work leaves of its machines, never the rest, and only while the
+ * machine is in use anyway. */
+static void spare_room_of_gpu_machines(void **state) {
+    struct rp_plan_machine m[] = {machine(1, 24, 24), machine(1, 24, 24)};
+    struct rp_plan_group g[] = {group(10, 1, 40)};
+    struct rp_plan_input in = input(NULL, 0, m, 2, g, 1);
+    struct rp_plan p;
+    (void)state;
+    for (int i = 0; i < 2; i++) {
+        m[i].capacity.gpus = m[i].room.gpus = m[i].later.gpus = 4;
+        m[i].spare = (struct rp_resources){3, 0, 20};
+    }
+    m[0].busy_s = 60;
+    m[1].busy_s = 5;
+    g[0].types = 1;
+    g[0].spare_types = 2;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 0, 0), 3);
+    assert_int_equal(put_on(&p, 0, 1), 0);
+    rp_plan_free(&p);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(formula_one),
                                        cmocka_unit_test(first_with_room),
@@ -265,6 +348,9 @@
                                        cmocka_unit_test(limits_and_spread),
                                        cmocka_unit_test(priority_first),
                                        cmocka_unit_test(portfolio_takes_least_left_then_cheapest),
+                                       cmocka_unit_test(gives_up_the_largest),
+                                       cmocka_unit_test(kept_machines),
+                                       cmocka_unit_test(spare_room_of_gpu_machines),
                                        cmocka_unit_test(random_pictures)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -47,7 +47,7 @@
 
 static void quiet_day(void **state) {
     static const struct sim_faults none = {0};
-    struct sim *s = sim_new(1, &none, SIM_SOUND);
+    struct sim *s = sim_new(1, &none, SIM_SOUND, 3);
     (void)state;
     submit_some(s, 1);
     sim_run(s, DAY_S);
@@ -63,7 +63,7 @@
  * in an outage, when all of them get none, all stay. */
 static void deaf_node_steps_aside(void **state) {
     static const struct sim_faults none = {0};
-    struct sim *s = sim_new(5, &none, SIM_SOUND);
+    struct sim *s = sim_new(5, &none, SIM_SOUND, 3);
     (void)state;
     sim_run(s, 5);
     s->nodes[1].deaf_until = s->now + 8;
@@ -74,7 +74,7 @@
     assert_true(rp_node_healthy(s->nodes[1].node));
     s->outage_until = s->now + 10;
     sim_run(s, 6);
-    for (int i = 0; i < SIM_NODES; i++)
+    for (int i = 0; i < s->n_nodes; i++)
         assert_true(rp_node_healthy(s->nodes[i].node));
     sim_free(s);
 }
@@ -83,7 +83,7 @@
  * returned every machine. */
 static void isolated_leader_gives_way(void **state) {
     static const struct sim_faults none = {0};
-    struct sim *s = sim_new(6, &none, SIM_SOUND);
+    struct sim *s = sim_new(6, &none, SIM_SOUND, 3);
     (void)state;
     for (int i = 0; i < 6; i++)
         sim_submit(s, 1, "sweep", 30, 1, 60, 0);
@@ -102,13 +102,15 @@
 
 /* Days with one kind of trouble, then all together; afterwards the world is left in peace, and all
  * that was accepted must come to its end. */
-static void days_of_trouble(const struct sim_faults *faults, unsigned long first, int days) {
+static void days_of_trouble_on(int nodes, const struct sim_faults *faults, unsigned long first,
+                               int days) {
     for (unsigned long seed = first; seed < first + (unsigned long)days; seed++) {
-        struct sim *s = sim_new(seed, faults, SIM_SOUND);
+        struct sim *s = sim_new(seed, faults, SIM_SOUND, nodes);
         submit_some(s, seed);
         sim_run(s, DAY_S);
-        s->faults = (struct sim_faults){0};
+        sim_calm(s);
         sim_run(s, REST_S);
+        sim_check_served(s);
         if (s->broken[0])
             fail_msg("seed %lu: %s", seed, s->broken);
         if (!sim_all_over(s))
@@ -117,6 +119,10 @@
     }
 }
 
+static void days_of_trouble(const struct sim_faults *faults, unsigned long first, int days) {
+    days_of_trouble_on(3, faults, first, days);
+}
+
 static void bad_network(void **state) {
     static const struct sim_faults f = {.lose = 0.02, .late = 0.02, .repeat = 0.05};
     (void)state;
@@ -157,18 +163,221 @@
     days_of_trouble(&f, 500, 24);
 }
 
+/* Machines whose reports arrive while answers don't, with takeovers among it. */
+static void mute_machines(void **state) {
+    static const struct sim_faults f = {.mute_s = 12, .crash_s = 50};
+    (void)state;
+    days_of_trouble(&f, 600, 8);
+}
+
+/* Copies of reports seconds to five leases late, across sessions, leaders, and machines that are
+ * gone. */
+static void late_copies(void **state) {
+    static const struct sim_faults f = {
+        .copies = 0.1, .hang_s = 20, .death_s = 30, .crash_s = 30, .take_s = 20};
+    (void)state;
+    days_of_trouble(&f, 620, 8);
+}
+
+/* Nodes that lose the state service and the other nodes, but not the workers. */
+static void lonely_nodes(void **state) {
+    static const struct sim_faults f = {.alone_s = 20, .repeat = 0.02, .late = 0.01};
+    (void)state;
+    days_of_trouble(&f, 640, 4);
+    days_of_trouble_on(5, &f, 650, 4);
+}
+
+/* Processes and machines back within 50 to 500 ms, at any moment: between the write of a key and
+ * its answer, during an election, during a takeover; their old requests arrive late, and again. */
+static void split_second_returns(void **state) {
+    static const struct sim_faults f = {
+        .blink_s = 4, .repeat = 0.1, .late = 0.03, .lose = 0.01, .copies = 0.05};
+    (void)state;
+    days_of_trouble(&f, 660, 6);
+    days_of_trouble_on(5, &f, 670, 6);
+}
+
+static void everything_on_five(void **state) {
+    static const struct sim_faults f = {.lose = 0.01,
+                                        .late = 0.01,
+                                        .repeat = 0.03,
+                                        .copies = 0.03,
+                                        .crash_s = 30,
+                                        .outage_s = 90,
+                                        .deaf_s = 60,
+                                        .alone_s = 50,
+                                        .mute_s = 40,
+                                        .blink_s = 20,
+                                        .hang_s = 30,
+                                        .death_s = 50,
+                                        .stall_s = 40,
+                                        .take_s = 30,
+                                        .task_error = 0.01};
+    (void)state;
+    days_of_trouble_on(5, &f, 700, 16);
+}
+
+static struct sim_worker *busiest_worker(struct sim *s) {
+    struct sim_worker *best = NULL;
+    for (int i = 0; i < SIM_WORKERS; i++)
+        if (s->workers[i].used && s->workers[i].up &&
+            (!best || s->workers[i].n_tasks > best->n_tasks))
+            best = &s->workers[i];
+    return best;
+}
+
+/* A machine that reports but gets no answers looked like a good one for ever: starts went to it
+ * again and again. It gets no more work, and goes back. */
+static void mute_machine_goes_back(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(7, &none, SIM_SOUND, 3);
+    char name[RP_TEXT_MAX];
+    (void)state;
+    for (int i = 0; i < 6; i++)
+        sim_submit(s, 1, "sweep", 40, 1, 12, 0);
+    sim_run(s, 25);
+    struct sim_worker *w = busiest_worker(s);
+    w->mute_until = s->now + 1000;
+    strcpy(name, w->name);
+    sim_run(s, 35);
+    struct rp_picture *p = &s->nodes[sim_leader(s)].node->picture;
+    const struct rp_machine *m = rp_machine_find(p, name);
+    assert_true(!m || !rp_machine_usable(m));
+    assert_true(!m || m->n_places == 0);
+    sim_run(s, 40);
+    assert_null(rp_machine_find(p, name));
+    sim_run(s, 100);
+    assert_string_equal(s->broken, "");
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
+/* After a takeover such a machine shows no token: it kept all work of before from being started,
+ * for as long as its reports were answered. */
+static void mute_machine_and_takeover(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(8, &none, SIM_SOUND, 3);
+    (void)state;
+    for (int i = 0; i < 4; i++)
+        sim_submit(s, 1, "sweep", 40, 1, 20, 0);
+    sim_run(s, 25);
+    struct sim_worker *w = busiest_worker(s);
+    w->mute_until = s->now + 1000;
+    sim_crash(s, sim_leader(s), 3);
+    sim_run(s, 45);
+    assert_true(rp_picture_settled(&s->nodes[sim_leader(s)].node->picture));
+    sim_run(s, 120);
+    assert_string_equal(s->broken, "");
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
+/* A late copy of a report by a machine that is gone, read by a leader who never knew it, made a
+ * machine that plans counted on. */
+static void ghost_is_no_machine(void **state) {
+    static const struct sim_faults none = {0};
+    static const char text[] =
+        "{\"sheave\":\"vm-ghost\",\"address\":\"vm-ghost\",\"frame\":\"wide\",\"yard\":\"a\","
+        "\"loaners\":false,\"stint\":3,\"tick\":50,\"warrant\":0,\"recall_s\":null,\"lifts\":[]}";
+    struct sim *s = sim_new(9, &none, SIM_SOUND, 3);
+    (void)state;
+    sim_run(s, 10);
+    struct rp_node *n = s->nodes[sim_leader(s)].node;
+    struct kept_answer a = {.req = {.method = "POST",
+                                    .target = "/checkin",
+                                    .body = text,
+                                    .len = strlen(text),
+                                    .respond = keep_answer}};
+    rp_node_client_request(n, &a.req);
+    assert_int_equal(a.status, 200); /* if it is there, it learns the token and comes again */
+    assert_null(rp_machine_find(&n->picture, "vm-ghost"));
+    sim_free(s);
+}
+
+/* The leader loses the state service and the other nodes, but not its workers: it lets them go well
+ * within their lease, and no task dies. */
+static void lonely_leader_lets_workers_go(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(10, &none, SIM_SOUND, 5);
+    uint64_t sessions[SIM_WORKERS];
+    int kept = 0, all = 0;
+    (void)state;
+    for (int i = 0; i < 6; i++)
+        sim_submit(s, 1, "sweep", 30, 1, 60, 0);
+    sim_run(s, 40);
+    int leader = sim_leader(s);
+    for (int i = 0; i < SIM_WORKERS; i++)
+        sessions[i] = s->workers[i].used && s->workers[i].up ? s->workers[i].session : 0;
+    s->nodes[leader].alone_until = s->now + 40;
+    sim_run(s, 6);
+    assert_false(rp_node_healthy(s->nodes[leader].node));
+    sim_run(s, 20);
+    assert_true(sim_leader(s) >= 0 && sim_leader(s) != leader);
+    for (int i = 0; i < SIM_WORKERS; i++)
+        if (sessions[i] && s->workers[i].used) {
+            all++;
+            kept += s->workers[i].session == sessions[i];
+        }
+    assert_true(all >= 4);
+    assert_int_equal(kept, all);
+    sim_run(s, 30);
+    assert_true(rp_node_healthy(s->nodes[leader].node));
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
+/* Every takeover stopped every gang of several tasks, since not all of them had been heard of yet.
+ */
+static void takeover_keeps_gangs(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(11, &none, SIM_SOUND, 3);
+    (void)state;
+    int gang = sim_submit(s, 1, "ensemble", 4, 8, 60, 0);
+    sim_run(s, 30);
+    assert_true(s->jobs[gang].begun);
+    unsigned long starts = s->n_starts;
+    sim_crash(s, sim_leader(s), 3);
+    sim_run(s, 70);
+    assert_true(s->jobs[gang].told_done);
+    assert_int_equal(s->n_starts, starts);
+    sim_free(s);
+}
+
+/* Gangs of whole machines starved on a full fleet, where what falls free is taken by what needs
+ * less: their machines are gathered. And a cloud that has no more is not asked all the time. */
+static void large_gangs_begin_on_a_full_fleet(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(12, &none, SIM_SOUND, 3);
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 40; i++)
+        sim_submit(s, 1 + i * 2, "sweep", 40, 2, 20, 0);
+    sim_run(s, 40);
+    int gang = sim_submit(s, s->now, "ensemble", 4, 24, 20, 0);
+    sim_run(s, 60);
+    assert_true(s->jobs[gang].begun);
+    struct rp_node *n = s->nodes[sim_leader(s)].node;
+    assert_true(n->fleet.n_refused > 0 && n->fleet.n_refused < 60);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* The checks can fail: each broken world must be caught on some day. */
 static void catches(enum sim_breakage breakage, const struct sim_faults *faults, const char *rule) {
     for (unsigned long seed = 900; seed < 930; seed++) {
-        struct sim *s = sim_new(seed, faults, breakage);
+        struct sim *s = sim_new(seed, faults, breakage, 3);
         submit_some(s, seed);
         sim_run(s, DAY_S);
+        sim_calm(s);
+        sim_run(s, REST_S);
+        sim_check_served(s);
         bool caught = strstr(s->broken, rule) != NULL;
         sim_free(s);
         if (caught)
             return;
     }
-    fail_msg("no %s in 30 days", rule);
+    fail_msg("no %s in 30 days, world %d", rule, (int)breakage);
 }
 
 static void broken_worlds_are_caught(void **state) {
@@ -179,9 +388,15 @@
     catches(SIM_WORKERS_KEEP_TASKS, &cut, "ran_twice");
     catches(SIM_WORKERS_IGNORE_STOPS, &calm, "ran_cancelled");
     catches(SIM_STATE_IGNORES_CONDITIONS, &late, "went_back");
+    static const struct sim_faults copies = {.copies = 0.2};
+    static const struct sim_faults alone = {.alone_s = 8, .late = 0.05, .repeat = 0.05};
+    catches(SIM_COPIES_LOOK_NEW, &copies, "ran_twice");
+    catches(SIM_STATE_IGNORES_CONDITIONS, &alone, ": "); /* whichever rule is first */
+    catches(SIM_POLLS_GET_LOST, &calm, "forgotten");
+    catches(SIM_LARGE_NEVER_BEGIN, &calm, "not_begun");
 }
 
-int main(void) {
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(quiet_day),
                                        cmocka_unit_test(deaf_node_steps_aside),
                                        cmocka_unit_test(isolated_leader_gives_way),
@@ -190,7 +405,20 @@
                                        cmocka_unit_test(state_troubles),
                                        cmocka_unit_test(machine_troubles),
                                        cmocka_unit_test(everything),
+                                       cmocka_unit_test(mute_machines),
+                                       cmocka_unit_test(late_copies),
+                                       cmocka_unit_test(lonely_nodes),
+                                       cmocka_unit_test(split_second_returns),
+                                       cmocka_unit_test(everything_on_five),
+                                       cmocka_unit_test(mute_machine_goes_back),
+                                       cmocka_unit_test(mute_machine_and_takeover),
+                                       cmocka_unit_test(ghost_is_no_machine),
+                                       cmocka_unit_test(lonely_leader_lets_workers_go),
+                                       cmocka_unit_test(takeover_keeps_gangs),
+                                       cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
                                        cmocka_unit_test(broken_worlds_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
+    if (argc > 1)
+        cmocka_set_test_filter(argv[1]);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
