Several machines are emptied at a time of a large fleet

Cause: one machine at a time was emptied whatever the fleet's size. The room that is found is counted once for all.

--- a/src/room.c
+++ b/src/room.c
@@ -9,6 +9,7 @@
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
+#define EMPTIED_OF 40     /* one machine, and one more of so many, may be emptied at a time */
 #define GATHER_MAX_S 60   /* a machine that isn't free by then isn't kept for a gang */
 #define GATHER_SLACK_S 6  /* run times are estimates */
 #define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
@@ -390,46 +391,60 @@
            rp_ts_since(now, place->running) > START_COUNTS_S;
 }
 
+/* The room of every machine, in the picture's order, as it is used up by tasks that are to move. */
+struct rooms {
+    struct rp_resources *free;
+    bool *source; /* machines being emptied: nothing moves there */
+    size_t n;
+};
+
+/* The machine that has to be kept least longer for a task that moves to it; -1 when none has room.
+ */
+static double cheapest_move(const struct rp_round *r, const struct rooms *rooms,
+                            const struct rp_machine *from, const struct rp_place *place,
+                            size_t *where, struct timespec now) {
+    double left = rp_place_left_s(r, from, place, now) + MOVE_S + place->job->spec.save_s;
+    double best = -1;
+    size_t at = 0;
+    for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
+        if (o == from || rooms->source[at] || !rp_machine_usable(o) || rp_room_reserved_for(r, o) ||
+            o->n_places == 0 ||
+            !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
+            !rp_resources_fit(&place->job->spec.each, &rooms->free[at]) ||
+            !rp_machine_has_image(o, place->job->spec.image))
+            continue;
+        double busy = 0;
+        for (size_t k = 0; k < o->n_places; k++)
+            busy = fmax(busy, rp_place_left_s(r, o, &o->places[k], now));
+        double more = fmax(0, left - busy) * rp_fleet_price(rp_round_catalog(r), o->type, o->spot);
+        if (best < 0 || more < best) {
+            best = more;
+            *where = at;
+        }
+    }
+    return best;
+}
+
 /* Takes the room for all tasks of `m` on other machines; returns how much longer these have to be
- * kept for them, in money, or a negative number when there is no room. */
-static double move_price(const struct rp_round *r, const struct rp_machine *m,
+ * kept for them, in money, or a negative number when there is no room: then none is taken. */
+static double move_price(const struct rp_round *r, struct rooms *rooms, const struct rp_machine *m,
                          struct timespec now) {
     double price = 0;
-    struct rp_resources *room = calloc(r->picture->n_machines, sizeof *room);
-    size_t n = 0;
-    if (!room)
+    size_t *to = calloc(m->n_places + 1, sizeof *to), n = 0;
+    if (!to)
         return -1;
-    for (const struct rp_machine *o = r->picture->first; o; o = o->next)
-        room[n++] = rp_machine_free(r->picture, o);
-    for (size_t i = 0; i < m->n_places && price >= 0; i++) {
-        const struct rp_place *place = &m->places[i];
-        double left = rp_place_left_s(r, m, place, now) + MOVE_S + place->job->spec.save_s;
-        double best = -1;
-        size_t best_at = 0, at = 0;
-        for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
-            if (o == m || !rp_machine_usable(o) || rp_room_reserved_for(r, o) || o->n_places == 0 ||
-                !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
-                !rp_resources_fit(&place->job->spec.each, &room[at]) ||
-                !rp_machine_has_image(o, place->job->spec.image))
-                continue;
-            double busy = 0;
-            for (size_t k = 0; k < o->n_places; k++)
-                busy = fmax(busy, rp_place_left_s(r, o, &o->places[k], now));
-            double more =
-                fmax(0, left - busy) * rp_fleet_price(rp_round_catalog(r), o->type, o->spot);
-            if (best < 0 || more < best) {
-                best = more;
-                best_at = at;
-            }
-        }
-        if (best < 0) {
+    for (; n < m->n_places && price >= 0; n++) {
+        double more = cheapest_move(r, rooms, m, &m->places[n], &to[n], now);
+        if (more < 0) {
             price = -1;
-        } else {
-            rp_resources_sub(&room[best_at], &place->job->spec.each);
-            price = fmax(price, best);
+            break;
         }
+        rp_resources_sub(&rooms->free[to[n]], &m->places[n].job->spec.each);
+        price = fmax(price, more);
     }
-    free(room);
+    for (size_t i = 0; price < 0 && i < n; i++)
+        rp_resources_add(&rooms->free[to[i]], &m->places[i].job->spec.each);
+    free(to);
     return price;
 }
 
@@ -440,38 +455,86 @@
     return false;
 }
 
-/* At the end of a load the last long tasks sit on many machines, each kept for a task or two.
- * Where they fit on machines that are kept anyway, and nothing waits for the room, they are
- * stopped with their progress saved, and the machine goes back. */
-void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
-                            struct timespec now) {
-    struct rp_machine *best = NULL;
-    double best_saving = 0;
-    /* One after the other: the room found for a machine's tasks must not be found twice. */
+/* What is saved if the machine's tasks go elsewhere; negative when they can't, or needn't. */
+static double empty_saving(const struct rp_round *r, const struct rp_round_input *x,
+                           struct rooms *rooms, const struct rp_machine *m, struct timespec now) {
+    double price = rp_fleet_price(rp_round_catalog(r), m->type, m->spot), busy = 0;
+    if (!rp_machine_usable(m) || m->n_places == 0 || m->emptied || type_wanted(x, m->type) ||
+        rp_room_reserved_for(r, m))
+        return -1;
+    for (size_t i = 0; i < m->n_places; i++) {
+        if (!movable(&m->places[i], now))
+            return -1;
+        busy = fmax(busy, rp_place_left_s(r, m, &m->places[i], now));
+    }
+    if (busy <= 2 * MOVE_S)
+        return -1;
+    struct rp_resources *before = calloc(rooms->n + 1, sizeof *before);
+    if (!before)
+        return -1;
+    memcpy(before, rooms->free, rooms->n * sizeof *before);
+    double more = move_price(r, rooms, m, now);
+    memcpy(rooms->free, before, rooms->n * sizeof *before);
+    free(before);
+    double saving = price * (busy - MOVE_S) - more;
+    return more >= 0 && saving > price * MOVE_S ? saving : -1;
+}
+
+/* The room now, less what the machines being emptied already move elsewhere: the room found for one
+ * machine's tasks must not be found twice. Returns how many these are. */
+static size_t rooms_fill(const struct rp_round *r, struct rooms *rooms, struct timespec now) {
+    size_t at = 0, moving = 0;
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next, at++) {
+        rooms->free[at] = rp_machine_free(r->picture, m);
+        rooms->source[at] = m->emptied;
+        moving += m->emptied;
+    }
     for (const struct rp_machine *m = r->picture->first; m; m = m->next)
         if (m->emptied)
-            return;
-    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
-        if (!rp_machine_usable(m) || m->n_places == 0 || type_wanted(x, m->type) ||
-            rp_room_reserved_for(r, m))
-            continue;
-        double price = rp_fleet_price(rp_round_catalog(r), m->type, m->spot), busy = 0;
-        bool all = true;
-        for (size_t i = 0; i < m->n_places && all; i++) {
-            all = movable(&m->places[i], now);
-            busy = fmax(busy, rp_place_left_s(r, m, &m->places[i], now));
-        }
-        double more = all && busy > 2 * MOVE_S ? move_price(r, m, now) : -1;
-        double saving = price * (busy - MOVE_S) - more;
-        if (more >= 0 && saving > price * MOVE_S && saving > best_saving) {
-            best = m;
-            best_saving = saving;
+            (void)move_price(r, rooms, m, now);
+    return moving;
+}
+
+static void empty_one(struct rp_round *r, struct rooms *rooms, struct rp_machine *m, size_t at,
+                      struct timespec now) {
+    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", m->name, m->n_places);
+    (void)move_price(r, rooms, m, now);
+    rooms->source[at] = true;
+    m->emptied = true;
+    for (size_t i = 0; i < m->n_places; i++)
+        rp_place_stop(&m->places[i], m->places[i].job->spec.save_s * 1.2 + 1);
+}
+
+/* Where a load falls, the last long tasks sit on many machines, each kept for a task or two. Where
+ * they fit on machines that are kept anyway, and nothing waits for the room, they are stopped with
+ * their progress saved, and the machine goes back: one at a time of a small fleet, more of a large
+ * one. */
+void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
+                            struct timespec now) {
+    struct rooms rooms = {.n = r->picture->n_machines};
+    rooms.free = calloc(rooms.n + 1, sizeof *rooms.free);
+    rooms.source = calloc(rooms.n + 1, sizeof *rooms.source);
+    if (!rooms.free || !rooms.source)
+        goto out;
+    size_t most = 1 + rooms.n / EMPTIED_OF, moving = rooms_fill(r, &rooms, now);
+    while (moving < most) {
+        struct rp_machine *best = NULL;
+        double best_saving = 0;
+        size_t best_at = 0, at = 0;
+        for (struct rp_machine *m = r->picture->first; m; m = m->next, at++) {
+            double saving = empty_saving(r, x, &rooms, m, now);
+            if (saving > best_saving) {
+                best = m;
+                best_saving = saving;
+                best_at = at;
+            }
         }
+        if (!best)
+            break;
+        empty_one(r, &rooms, best, best_at, now);
+        moving++;
     }
-    if (!best)
-        return;
-    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", best->name, best->n_places);
-    best->emptied = true;
-    for (size_t i = 0; i < best->n_places; i++)
-        rp_place_stop(&best->places[i], best->places[i].job->spec.save_s * 1.2 + 1);
+out:
+    free(rooms.free);
+    free(rooms.source);
 }
