--- a/src/fleet.c
+++ b/src/fleet.c
@@ -16,6 +16,8 @@
 #define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 16.0
+#define ZONE_BACK_S 12.0
+#define ZONE_GRACE_S 75.0 /* when most of its zone fell silent with it */
 /* A machine that reports but gets no answers has had its lease's time, and more, to recover. */
 #define DEAF_RETURN_S 32.0
 #define DEAF_SURE_S 5.0
@@ -692,6 +694,41 @@
     return many;
 }
 
+/* A zone that is cut off comes back with its machines, their images and, after the lease, nothing
+ * on them: giving them back and renting anew costs a boot and all fetches, and in the meantime new
+ * ones there could not report either. */
+static void note_zones(struct rp_fleet *f, struct timespec now) {
+    size_t known[RP_ZONES_MAX] = {0}, quiet[RP_ZONES_MAX] = {0};
+    double limit = f->settings->report_s * 1.25 + 2.5;
+    f->zones_out = 0;
+    if (rp_ts_since(now, f->led_since) < limit)
+        return; /* after a takeover all are heard of anew */
+    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+        if (!m->up_recorded || m->zone < 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
+            continue;
+        known[m->zone]++;
+        quiet[m->zone] += rp_ts_since(now, m->last_report) > limit;
+    }
+    for (int z = 0; z < RP_ZONES_MAX; z++)
+        if (known[z] >= 4 && (double)quiet[z] >= ISOLATED_SHARE * (double)known[z]) {
+            f->zones_out |= 1u << z;
+            f->zone_out_seen[z] = now;
+        }
+}
+
+/* How long a lost machine is waited for. After a cut its zone's machines come back one by one: the
+ * first of them are no reason to give the rest back. */
+static double lost_grace_s(const struct rp_fleet *f, const struct rp_machine *m,
+                           struct timespec now) {
+    bool out = m->zone >= 0 && !rp_ts_zero(f->zone_out_seen[m->zone]) &&
+               rp_ts_since(now, f->zone_out_seen[m->zone]) < ZONE_BACK_S;
+    return out ? ZONE_GRACE_S : LOST_GRACE_S;
+}
+
+bool rp_fleet_zone_out(const struct rp_fleet *f, int zone) {
+    return zone >= 0 && (f->zones_out >> zone & 1);
+}
+
 static void watch_machine(struct rp_fleet *f, struct rp_machine *m, bool cut_off,
                           struct timespec now) {
     double led = rp_ts_since(now, f->led_since);
@@ -715,7 +752,8 @@
     case RP_MACHINE_LOST:
         if (!cut_off && deaf_for(m, now) > DEAF_RETURN_S)
             rp_fleet_return(f, m, "gets no answers");
-        else if (!cut_off && rp_ts_since(now, m->lost_since) > LOST_GRACE_S && led > LOST_GRACE_S)
+        else if (!cut_off && rp_ts_since(now, m->lost_since) > lost_grace_s(f, m, now) &&
+                 led > LOST_GRACE_S)
             rp_fleet_return(f, m, "lost");
         break;
     case RP_MACHINE_BOOTING:
@@ -739,6 +777,7 @@
     if (rp_ts_zero(f->proven_since))
         f->proven_since = now;
     bool cut_off = isolated(f, now);
+    note_zones(f, now);
     if (!rp_ts_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
         rp_info("most machines are silent: another node may reach them");
         rp_election_resign(f->election, STAND_BACK_S);
@@ -834,6 +873,8 @@
 void rp_fleet_clear(struct rp_fleet *f) {
     f->generation++;
     f->listing = f->deleting = false;
+    f->zones_out = 0;
+    memset(f->zone_out_seen, 0, sizeof f->zone_out_seen);
     f->proven_since = f->isolated_since = (struct timespec){0};
     f->n_refusals = 0;
     rp_timer_cancel(f->loop, &f->timer);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -55,6 +55,8 @@
     struct timespec led_since;
     struct timespec proven_since;   /* leadership was provable ever since; zero: it isn't now */
     struct timespec isolated_since; /* most machines fell silent together; zero: they didn't */
+    uint32_t zones_out;             /* bit set: most machines of the zone are silent */
+    struct timespec zone_out_seen[RP_ZONES_MAX]; /* when they last were; zero: never */
     bool listing, deleting;
     struct timespec next_list, next_catalog;
     char list_after[RP_TEXT_MAX];
@@ -73,6 +75,8 @@
 void rp_fleet_load(struct rp_fleet *f);
 void rp_fleet_clear(struct rp_fleet *f);
 void rp_fleet_rent(struct rp_fleet *f, int type, int zone, bool spot, unsigned count);
+/* Whether the zone seems to be cut off: what is rented there can't report. */
+bool rp_fleet_zone_out(const struct rp_fleet *f, int zone);
 bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot);
 /* Rentals asked for whose machines aren't known yet. */
 unsigned rp_fleet_pending(const struct rp_fleet *f, int type, int zone, bool spot);
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -37,7 +37,8 @@
                     .zone = (int)z,
                     .spot = spot,
                     /* Until what is asked for is answered, nobody knows whether there is more. */
-                    .refused = rp_fleet_refused(r->fleet, (int)t, (int)z, spot) ||
+                    .refused = rp_fleet_zone_out(r->fleet, (int)z) ||
+                               rp_fleet_refused(r->fleet, (int)t, (int)z, spot) ||
                                rp_fleet_pending(r->fleet, (int)t, (int)z, spot) >= ASKED_MAX,
                     .price = rp_fleet_price(c, (int)t, spot),
                     .boot_s = type->boot_s,
--- a/src/workers.c
+++ b/src/workers.c
@@ -363,12 +363,30 @@
            rp_ts_since(rp_loop_now(w->loop), m->first_answer) > TOKEN_PATIENCE_S;
 }
 
+/* A report of a session that is over, held back on its way by a cut: what it lists is gone, and
+ * runs elsewhere by now. Only results stay true. */
+static void take_results(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
+    m->seq = r->seq;
+    for (size_t i = 0; i < r->n_tasks; i++) {
+        const struct rp_task_report *t = &r->tasks[i];
+        struct rp_job *job = rp_jobs_find(w->jobs, t->job);
+        if (job && t->task < job->spec.n_tasks && t->state == RP_TASK_EXITED &&
+            t->why == RP_EXIT_DONE)
+            rp_jobs_task_done(w->jobs, job, t->task);
+    }
+}
+
 static void handle(struct rp_workers *w, struct rp_request *req, const struct rp_report *r) {
     struct rp_machine *m = machine_of(w, r);
     if (!m) {
         answer(w, req, NULL, NULL);
         return;
     }
+    if (m->state == RP_MACHINE_LOST && r->session == m->session && r->seq > m->seq) {
+        take_results(w, m, r);
+        respond(req, 503, rp_wire_error("this session's lease has ended"));
+        return;
+    }
     bool old = r->session < m->session || (r->session == m->session && r->seq <= m->seq);
     if (old) {
         /* A copy, late by seconds or by many leases: it proves nothing, and its answer renews no
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -613,7 +613,9 @@
     w->in_flight = true;
     w->changed = false;
     w->sent = s->now;
-    if (chance(s, s->faults.lose))
+    if (s->held_worker == index + 1 && s->now < s->held_until)
+        e->due = s->held_until + 0.5 - 0.025 * (s->held_until - s->now); /* in their order */
+    else if (chance(s, s->faults.lose))
         e->due = s->now + 1e9;
     else if (chance(s, s->faults.late))
         e->due = s->now + 5 + 60 * uniform(s);
@@ -1052,7 +1054,7 @@
             over = request_arrives(s, e);
             break;
         case EV_REPORT:
-            if (s->cut_from_workers == e->node + 1)
+            if (s->cut_from_workers == e->node + 1 || s->cut_zone == s->workers[e->worker].zone + 1)
                 break;
             node_receive(s, e->node, "POST", RP_PATH_REPORT, e->body, EV_REPORT_ANSWER, e->worker,
                          e->flight, 0);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -128,6 +128,9 @@
     uint64_t next_lease, revision;
     json_t *log; /* changes, for watches */
     double outage_until;
+    int held_worker;      /* 1 + the worker whose reports are held back, 0: none */
+    double held_until;    /* and arrive then */
+    int cut_zone;         /* 1 + the zone whose machines reach no node, 0: none */
     int cut_from_workers; /* 1 + the node that no report reaches, 0: none */
     json_t *rentals;      /* request name -> answer */
     int next_machine;
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -363,6 +363,70 @@
     sim_free(s);
 }
 
+/* A cut that held packets back delivered reports of sessions that had ended: their tasks, which ran
+ * elsewhere by then, were taken to be on the old machines as well. */
+static void held_reports_bring_nothing_back(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(13, &none, SIM_SOUND, 3);
+    (void)state;
+    for (int i = 0; i < 4; i++)
+        sim_submit(s, 1, "sweep", 40, 1, 30, 0);
+    sim_run(s, 25);
+    struct sim_worker *w = busiest_worker(s);
+    s->held_worker = (int)(w - s->workers) + 1;
+    s->held_until = s->now + 20;
+    sim_run(s, 19.9);
+    int leader = sim_leader(s);
+    const struct rp_node *n = s->nodes[leader].node;
+    const struct rp_machine *m = rp_machine_find(&n->picture, w->name);
+    assert_true(m && m->state == RP_MACHINE_LOST);
+    for (int i = 0; i < 20; i++) {
+        sim_run(s, 0.02);
+        assert_int_equal(sim_leader(s), leader);
+        for (const struct rp_job *job = n->jobs.first; job; job = job->next)
+            for (uint32_t t = 0; t < job->spec.n_tasks; t++)
+                assert_true(rp_job_places(job, t) <= 1);
+    }
+    sim_run(s, 200);
+    assert_string_equal(s->broken, "");
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
+/* Incident 592a: the machines of a zone that was cut off for 35 s were all given back, the last of
+ * them when the first had come back, and rented anew, with a boot and every image to fetch. */
+static void cut_zone_keeps_its_machines(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(14, &none, SIM_SOUND, 3);
+    int in_zone = 0;
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 40; i++)
+        sim_submit(s, 1 + i * 2, "sweep", 40, 2, 40, 0);
+    sim_run(s, 45);
+    const struct rp_node *n = s->nodes[sim_leader(s)].node;
+    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+        in_zone += m->zone == 0 && m->state == RP_MACHINE_UP;
+    assert_true(in_zone >= 4);
+    s->cut_zone = 1;
+    sim_run(s, 35);
+    assert_true(rp_fleet_zone_out(&n->fleet, 0));
+    int lost = 0;
+    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+        lost += m->zone == 0 && m->state == RP_MACHINE_LOST;
+    assert_int_equal(lost, in_zone);
+    s->cut_zone = 0;
+    sim_run(s, 12);
+    assert_false(rp_fleet_zone_out(&n->fleet, 0));
+    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+        in_zone -= m->zone == 0 && m->state == RP_MACHINE_UP && m->session > 1;
+    assert_int_equal(in_zone, 0);
+    sim_run(s, 200);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* The checks can fail: each broken world must be caught on some day. */
 static void catches(enum sim_breakage breakage, const struct sim_faults *faults, const char *rule) {
     for (unsigned long seed = 900; seed < 930; seed++) {
@@ -416,6 +480,8 @@
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
+                                       cmocka_unit_test(held_reports_bring_nothing_back),
+                                       cmocka_unit_test(cut_zone_keeps_its_machines),
                                        cmocka_unit_test(broken_worlds_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     if (argc > 1)
