--- a/src/fleet.c
+++ b/src/fleet.c
@@ -298,8 +298,13 @@
     struct timespec now = rp_loop_now(f->loop);
     struct rp_refusal *found = refusal_find(f, type, zone, rental->record.spot);
     if (!found) {
-        if (f->n_refusals == RP_REFUSALS_MAX)
+        if (f->n_refusals == RP_REFUSALS_MAX) {
+            /* It is asked for again in the next round: only the pause is lost. */
+            f->n_over_bounds++;
+            rp_error("more than %d kinds are refused: no pause for %s", RP_REFUSALS_MAX,
+                     rental->record.type);
             return;
+        }
         found = &f->refusals[f->n_refusals++];
         *found = (struct rp_refusal){.type = type, .zone = zone, .spot = rental->record.spot};
     }
@@ -461,8 +466,9 @@
 
 bool rp_fleet_gone(const struct rp_fleet *f, const char *machine) {
     size_t n = f->n_gone < RP_GONE_KEPT ? f->n_gone : RP_GONE_KEPT;
+    uint64_t hash = rp_text_hash(machine);
     for (size_t i = 0; i < n; i++)
-        if (strcmp(f->gone[i], machine) == 0)
+        if (f->gone[i] == hash)
             return true;
     return false;
 }
@@ -471,7 +477,7 @@
 static void machine_gone(struct rp_fleet *f, struct rp_machine *m) {
     struct rp_rental *rental = m->rental;
     refusal_over(f, m);
-    snprintf(f->gone[f->n_gone++ % RP_GONE_KEPT], RP_TEXT_MAX, "%s", m->name);
+    f->gone[f->n_gone++ % RP_GONE_KEPT] = rp_text_hash(m->name);
     rp_machine_remove(f->picture, m);
     if (!rental)
         return;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -34,7 +34,8 @@
     double pause_s; /* grows while the kind goes on being refused */
 };
 #define RP_REFUSALS_MAX 256
-#define RP_GONE_KEPT 512
+/* A late copy of a report may come minutes after its machine: at one return a second, an hour's. */
+#define RP_GONE_KEPT 4096
 
 struct rp_fleet {
     struct rp_loop *loop;
@@ -48,7 +49,7 @@
     struct rp_rental *rentals;
     struct rp_refusal refusals[RP_REFUSALS_MAX];
     size_t n_refusals;
-    char gone[RP_GONE_KEPT][RP_TEXT_MAX]; /* machines certainly gone: late news of them is void */
+    uint64_t gone[RP_GONE_KEPT]; /* hashes of machines certainly gone: late news of them is void */
     size_t n_gone;
     unsigned long generation;
     unsigned long next_name;
@@ -65,6 +66,7 @@
     void (*on_changed)(void *arg);
     void *arg;
     unsigned long n_rented, n_refused, n_returned;
+    unsigned long n_over_bounds; /* refused kinds beyond RP_REFUSALS_MAX */
 };
 
 void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
--- a/src/node.c
+++ b/src/node.c
@@ -339,7 +339,7 @@
         json_object_set_new(wins, n->settings->tuning.heuristics[i],
                             json_integer((json_int_t)n->round.wins[i]));
     json_t *v = json_pack(
-        "{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
+        "{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
         n->settings->node, "state", states[n->at], "leader", n->election.leader, "token",
         (json_int_t)n->election.token, "lease_proven",
         rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes", class_counts(n),
@@ -347,7 +347,9 @@
         wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
         (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented, "refused",
         (json_int_t)n->fleet.n_refused, "returned", (json_int_t)n->fleet.n_returned, "accepted",
-        (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "latencies",
+        (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "stale_reports",
+        (json_int_t)n->workers.n_stale, "over_bounds",
+        (json_int_t)(n->workers.n_over_bounds + n->fleet.n_over_bounds), "latencies",
         rp_metrics_json(&n->metrics));
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
--- a/src/workers.c
+++ b/src/workers.c
@@ -55,11 +55,18 @@
     return NULL;
 }
 
-static void add_foreign(struct rp_machine *m, const struct rp_task_report *t) {
+static void add_foreign(struct rp_workers *w, struct rp_machine *m,
+                        const struct rp_task_report *t) {
     if (!m->foreign)
         m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
-    if (!m->foreign || m->n_foreign == RP_FOREIGN_KEPT)
+    if (!m->foreign)
+        abort(); /* out of memory: a restart is the honest answer */
+    if (m->n_foreign == RP_FOREIGN_KEPT) {
+        /* The machine gets no work while it has any, so the rest is stopped from a later report. */
+        if (w->n_over_bounds++ == 0)
+            rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
         return;
+    }
     struct rp_foreign *f = &m->foreign[m->n_foreign++];
     strcpy(f->job, t->job);
     f->task = t->task;
@@ -127,7 +134,7 @@
 static void read_task(struct rp_workers *w, struct rp_machine *m, const struct rp_task_report *t) {
     struct rp_job *job = rp_jobs_find(w->jobs, t->job);
     if (!job || t->task >= job->spec.n_tasks) {
-        add_foreign(m, t);
+        add_foreign(w, m, t);
         return;
     }
     struct rp_place *place = find_place(m, job, t->task, t->attempt);
--- a/src/workers.h
+++ b/src/workers.h
@@ -18,6 +18,7 @@
     void (*on_room)(void *arg); /* places became free */
     void *arg;
     unsigned long n_reports, n_stale, n_starts;
+    unsigned long n_over_bounds; /* tasks of unknown jobs beyond RP_FOREIGN_KEPT on a machine */
 };
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
