Machines that report 4 s apart are heard, answers wait for rounds, cheaper rounds

A report's follow-up may now take report_s and a quarter. Rounds keep 0.1 s distance, and 200 reports a second come between two of them: what they freed was planned at once, but started with the machine's next report, up to 4 s later. Their answers now wait for the round. Exits count as news as well (they didn't: only their removal did). Rounds: each group looks at lists of machines of its own types with room, images are found once for all jobs that share one, unsettled machines and jobs that room is kept for are listed once.

--- a/src/jobs.c
+++ b/src/jobs.c
@@ -122,6 +122,7 @@
     job->age_at_known_s = t->loop->is_virtual ? 0 : rp_ts_since(wall, job->accepted);
     if (job->age_at_known_s < 0)
         job->age_at_known_s = 0;
+    job->image_hash = rp_text_hash(job->spec.image);
     job->team = rp_settings_team(t->settings, job->spec.team);
     job->done = calloc(1, bytes);
     job->durable = calloc(1, bytes);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -35,6 +35,8 @@
     uint32_t chunks_written, chunks_dirty, chunks_flushing; /* bit sets */
     struct timespec dirty_since;
     bool writing; /* the finishing transaction is under way */
+    uint64_t image_hash;
+    unsigned long held_round; /* the last round in which machines were kept for it */
     /* Errors: a job that fails on several machines is itself at fault. */
     char error_on[RP_JOB_ERRORS_KEPT][RP_TEXT_MAX];
     unsigned n_error_on;
--- a/src/node.c
+++ b/src/node.c
@@ -8,7 +8,9 @@
 
 #define SUMMARY_S 2.0
 #define ROUND_SHARE 0.35 /* of the processor time this node has, for rounds that news call for */
+#define ROUND_MOST 0.12  /* of a core: more buys nothing, rounds then only find less to do each */
 #define ROUND_GAP_S 0.1  /* rounds that news call for keep this distance */
+#define HOLD_MAX_S 0.8   /* a report's answer waits no longer than this for a round */
 #define PATH_SUMMARY "/peer/summary"
 #define PATH_HEALTH "/peer/health"
 #define PATH_STATUS "/status"
@@ -22,6 +24,7 @@
 static void on_fleet_loaded(void *arg, bool ok);
 static void on_closed(void *arg, struct rp_job *job);
 static void on_room(void *arg);
+static bool on_report_news(void *arg);
 static void room_due(void *arg);
 static void retry_due(void *arg);
 static void catalog_due(void *arg);
@@ -56,7 +59,7 @@
     n->fleet.on_loaded = on_fleet_loaded;
     n->fleet.on_changed = on_room;
     n->fleet.arg = n;
-    n->workers.on_room = on_room;
+    n->workers.on_room = on_report_news;
     n->workers.arg = n;
     n->catalog_timer = (struct rp_timer){.fn = catalog_due, .arg = n};
     n->summary_timer = (struct rp_timer){.fn = summary_due, .arg = n};
@@ -73,6 +76,7 @@
 }
 
 void rp_node_close(struct rp_node *n) {
+    rp_workers_close(&n->workers);
     rp_fleet_clear(&n->fleet);
     rp_picture_free(&n->picture);
     rp_jobs_clear(&n->jobs);
@@ -119,6 +123,9 @@
     n->at = at;
     n->workers.ready = at == RP_NODE_LEADING;
     rp_timer_cancel(n->loop, &n->retry_timer);
+    rp_timer_cancel(n->loop, &n->room_timer);
+    if (at != RP_NODE_LEADING)
+        rp_workers_answer_held(&n->workers);
     switch (at) {
     case RP_NODE_FOLLOWING:
         rp_round_stop(&n->round);
@@ -178,28 +185,43 @@
     rp_picture_stop_job(&n->picture, job, 0);
 }
 
-/* Something changed that a round could use. */
-static void on_room(void *arg) {
+/* How long until the next round that news may call for. Rounds that take long keep a longer
+ * distance, and find more to do in one. */
+static double until_round_s(const struct rp_node *n) {
+    double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
+    double share = fmin(ROUND_SHARE * fmin(1, n->settings->cpu_share), ROUND_MOST);
+    return fmax(n->round.took_s / share, ROUND_GAP_S) - since;
+}
+
+static void run_round(struct rp_node *n) {
+    rp_timer_cancel(n->loop, &n->room_timer);
+    rp_round_run(&n->round);
+    rp_workers_answer_held(&n->workers);
+}
+
+/* Something changed that a round could use. True: there is none to wait for any more. */
+static bool on_report_news(void *arg) {
     struct rp_node *n = arg;
     if (n->at != RP_NODE_LEADING)
-        return;
-    /* Rounds that take long keep a longer distance, and find more to do in one. */
-    double since = rp_ts_since(rp_loop_now(n->loop), n->round.last);
-    double gap = n->round.took_s / (ROUND_SHARE * fmin(1, n->settings->cpu_share));
-    gap = gap > ROUND_GAP_S ? gap : ROUND_GAP_S;
-    if (since >= gap) {
-        /* Before the report that brought the news is answered: its answer carries the starts. */
-        rp_timer_cancel(n->loop, &n->room_timer);
-        rp_round_run(&n->round);
-    } else if (!n->room_timer.place) {
-        rp_timer_set(n->loop, &n->room_timer, gap - since);
+        return true;
+    double wait = until_round_s(n);
+    if (wait <= 0) {
+        run_round(n);
+        return true;
     }
+    if (!n->room_timer.place)
+        rp_timer_set(n->loop, &n->room_timer, wait);
+    return wait > HOLD_MAX_S;
+}
+
+static void on_room(void *arg) {
+    (void)on_report_news(arg);
 }
 
 static void room_due(void *arg) {
     struct rp_node *n = arg;
     if (n->at == RP_NODE_LEADING)
-        rp_round_run(&n->round);
+        run_round(n);
 }
 
 /* ---- between nodes ---- */
--- a/src/picture.c
+++ b/src/picture.c
@@ -25,6 +25,9 @@
 static void drop_all(struct rp_picture *p) {
     while (p->first)
         rp_machine_remove(p, p->first);
+    free(p->unsettled);
+    p->unsettled = NULL;
+    p->n_unsettled = p->cap_unsettled = 0;
 }
 
 void rp_picture_reset(struct rp_picture *p, uint64_t token) {
@@ -43,9 +46,9 @@
 }
 
 struct rp_machine *rp_machine_find(const struct rp_picture *p, const char *name) {
-    struct rp_machine *m = p->first;
+    struct rp_machine *m = p->buckets[rp_text_hash(name) % RP_PICTURE_BUCKETS];
     while (m && strcmp(m->name, name) != 0)
-        m = m->next;
+        m = m->hash_next;
     return m;
 }
 
@@ -64,12 +67,20 @@
     else
         p->first = m;
     p->last = m;
+    struct rp_machine **bucket = &p->buckets[rp_text_hash(m->name) % RP_PICTURE_BUCKETS];
+    m->hash_next = *bucket;
+    *bucket = m;
     p->n_machines++;
+    p->unsettled_stale = true;
     return m;
 }
 
 void rp_machine_remove(struct rp_picture *p, struct rp_machine *m) {
     rp_machine_session_over(p, m);
+    struct rp_machine **at = &p->buckets[rp_text_hash(m->name) % RP_PICTURE_BUCKETS];
+    while (*at != m)
+        at = &(*at)->hash_next;
+    *at = m->hash_next;
     if (m->prev)
         m->prev->next = m->next;
     else
@@ -79,6 +90,7 @@
     else
         p->last = m->prev;
     p->n_machines--;
+    p->unsettled_stale = true;
     machine_free(m);
 }
 
@@ -97,12 +109,37 @@
         rp_machine_session_over(p, m);
     }
     m->state = state;
+    p->unsettled_stale = true;
+}
+
+void rp_machine_note_token(struct rp_picture *p, struct rp_machine *m, bool seen) {
+    if (m->token_seen != seen)
+        p->unsettled_stale = true;
+    m->token_seen = seen;
+}
+
+void rp_machine_clear_foreign(struct rp_picture *p, struct rp_machine *m) {
+    p->n_with_foreign -= m->n_foreign > 0;
+    m->n_foreign = 0;
+}
+
+bool rp_machine_add_foreign(struct rp_picture *p, struct rp_machine *m,
+                            const struct rp_foreign *foreign) {
+    if (!m->foreign)
+        m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
+    if (!m->foreign)
+        abort(); /* out of memory: a restart is the honest answer */
+    if (m->n_foreign == RP_FOREIGN_KEPT)
+        return false;
+    p->n_with_foreign += m->n_foreign == 0;
+    m->foreign[m->n_foreign++] = *foreign;
+    return true;
 }
 
 void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m) {
     while (m->n_places > 0)
         rp_place_drop(p, m, m->n_places - 1);
-    m->n_foreign = 0;
+    rp_machine_clear_foreign(p, m);
     m->n_images = 0;
 }
 
@@ -111,25 +148,51 @@
 }
 
 /* The machine may hold tasks of an earlier leader that it hasn't told us of yet. */
+static bool may_hold_more(const struct rp_machine *m) {
+    return m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen);
+}
+
 static bool unsettled(const struct rp_picture *p, const struct rp_machine *m) {
     return m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
                                               !rp_ts_reached(rp_loop_now(p->loop), m->held_until));
 }
 
-bool rp_picture_settled(const struct rp_picture *p) {
-    for (const struct rp_machine *m = p->first; m; m = m->next)
-        if (unsettled(p, m))
+/* Every start asks who is unsettled: the machines that may be are listed anew only after one of
+ * them has changed, and mostly there are none. */
+static void list_unsettled(struct rp_picture *p) {
+    if (!p->unsettled_stale)
+        return;
+    p->n_unsettled = 0;
+    if (p->cap_unsettled < p->n_machines) {
+        free(p->unsettled);
+        p->cap_unsettled = p->n_machines * 2;
+        p->unsettled = calloc(p->cap_unsettled, sizeof(struct rp_machine *));
+        if (!p->unsettled)
+            abort(); /* out of memory: a restart is the honest answer */
+    }
+    for (struct rp_machine *m = p->first; m; m = m->next)
+        if (may_hold_more(m))
+            p->unsettled[p->n_unsettled++] = m;
+    p->unsettled_stale = false;
+}
+
+bool rp_picture_settled(struct rp_picture *p) {
+    list_unsettled(p);
+    for (size_t i = 0; i < p->n_unsettled; i++)
+        if (unsettled(p, p->unsettled[i]))
             return false;
     return true;
 }
 
-bool rp_picture_job_settled(const struct rp_picture *p, const struct rp_job *job) {
+bool rp_picture_job_settled(struct rp_picture *p, const struct rp_job *job) {
     const struct rp_team *team = job->team >= 0 ? &p->settings->teams[job->team] : NULL;
     bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
     /* A job whose record is younger than our token was accepted after the last leader's lease had
      * ended: nobody but us can have started any of it. */
     bool young = job->created > p->token;
-    for (const struct rp_machine *m = p->first; m; m = m->next) {
+    list_unsettled(p);
+    for (size_t i = 0; i < p->n_unsettled; i++) {
+        const struct rp_machine *m = p->unsettled[i];
         if (!unsettled(p, m))
             continue;
         bool unfit = m->type >= 0 && m->zone >= 0 &&
@@ -185,13 +248,6 @@
     return spec->n_types == 0;
 }
 
-static bool any_foreign(const struct rp_picture *p) {
-    for (const struct rp_machine *m = p->first; m; m = m->next)
-        if (m->n_foreign)
-            return true;
-    return false;
-}
-
 uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job) {
     double room = RP_TASKS_MAX;
     if (job->team < 0)
@@ -202,7 +258,7 @@
         return RP_TASKS_MAX;
     /* Tasks of jobs that this leader can't know are counted against nobody's limit, so nobody
      * with a limit starts anything before they are gone. */
-    if (any_foreign(p))
+    if (p->n_with_foreign > 0)
         return 0;
     if (team->cpus_max > 0 && each->cpus > 0)
         room = fmin(room, (team->cpus_max - p->team_cpus[job->team] + 1e-9) / each->cpus);
@@ -222,7 +278,7 @@
     return true;
 }
 
-bool rp_picture_may_start(const struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m) {
     const struct rp_resources *each = &job->spec.each;
     struct rp_resources room = rp_machine_free(p, m);
--- a/src/picture.h
+++ b/src/picture.h
@@ -92,8 +92,11 @@
     unsigned list_missing;
     bool listed_failed;
     struct rp_machine *prev, *next;
+    struct rp_machine *hash_next;
 };
 
+#define RP_PICTURE_BUCKETS 2048
+
 struct rp_picture {
     struct rp_loop *loop;
     struct rp_jobs *jobs;
@@ -101,6 +104,12 @@
     const struct rp_catalog *catalog;
     struct rp_machine *first, *last;
     size_t n_machines;
+    struct rp_machine *buckets[RP_PICTURE_BUCKETS];
+    /* The machines that may hold tasks this leader doesn't know of; found anew after a change. */
+    struct rp_machine **unsettled;
+    size_t n_unsettled, cap_unsettled;
+    bool unsettled_stale;
+    size_t n_with_foreign;         /* machines that hold tasks of unknown jobs */
     double *team_cpus, *team_gpus; /* what each team's tasks may use now */
     uint64_t token;
     uint64_t attempt_base, attempt_next;
@@ -119,22 +128,28 @@
 void rp_machine_remove(struct rp_picture *p, struct rp_machine *m);
 /* The one place where a machine changes its state. */
 void rp_machine_enter(struct rp_picture *p, struct rp_machine *m, enum rp_machine_state state);
+/* Whether its newest report shows our token. */
+void rp_machine_note_token(struct rp_picture *p, struct rp_machine *m, bool seen);
+/* Forgets, and adds, tasks of jobs that this leader doesn't know; false beyond RP_FOREIGN_KEPT. */
+void rp_machine_clear_foreign(struct rp_picture *p, struct rp_machine *m);
+bool rp_machine_add_foreign(struct rp_picture *p, struct rp_machine *m,
+                            const struct rp_foreign *foreign);
 /* The session is over: no task of it is on the machine any more. */
 void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m);
 
 /* Unique over all leaders: the token and a count. */
 uint64_t rp_picture_attempt(struct rp_picture *p);
 /* No machine may hold tasks that this leader doesn't know of. */
-bool rp_picture_settled(const struct rp_picture *p);
+bool rp_picture_settled(struct rp_picture *p);
 /* No machine may hold tasks of this job that this leader doesn't know of. */
-bool rp_picture_job_settled(const struct rp_picture *p, const struct rp_job *job);
+bool rp_picture_job_settled(struct rp_picture *p, const struct rp_job *job);
 struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m);
 bool rp_machine_usable(const struct rp_machine *m);
 bool rp_machine_deaf(const struct rp_machine *m);
 /* The types, zones and kinds that the job allows. */
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
                        int zone, bool spot);
-bool rp_picture_may_start(const struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m);
 /* Tasks of the job that its team's limit leaves room for now. */
 uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job);
--- a/src/plan.c
+++ b/src/plan.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define EPS 1e-9
+#define LISTINGS_MAX 16  /* sets of types with a list of their own; the rest share the last one */
 #define WAIT_SHARE 0.4   /* of a job's time to spare that may pass in waiting */
 #define HOLDER_SHARE 1.0 /* of a fetch's time that room with the image is waited for */
 /* Work with fewer machines to choose from goes ahead of work that may use spot machines as well. */
@@ -75,16 +76,28 @@
     const struct rp_resources *capacity;
 };
 
+/* Which room of a machine a list is about. */
+enum room_kind { ROOM_NOW, ROOM_LATER, ROOM_SPARE, ROOM_KINDS };
+
+/* The machines, in the heuristic's order, that have room for some group among those that may use
+ * the same types. A group looks at its own list only: with one list for all, the plans' work grew
+ * with groups times machines, whether these were full, of other types, or had nothing to spare. */
+struct listing {
+    uint32_t types;
+    bool filled; /* rooms have been taken since the lists were last thinned out */
+    size_t *at[ROOM_KINDS], n[ROOM_KINDS];
+    struct rp_resources least; /* of each resource: what the least demanding task needs */
+};
+
 struct run {
     const struct rp_plan_input *in;
     struct rp_plan *plan;
     struct slot *slots; /* machines, then new ones */
     size_t *group_order, *machine_order;
-    size_t n_order; /* machines in the order: those with room for some group */
-    /* By machine type, of each resource: what the least demanding group's task needs. */
-    struct rp_resources least[RP_TYPES_MAX];
+    size_t *group_listing, *spare_listing; /* of each group: its places in `listings` */
+    struct listing listings[LISTINGS_MAX];
+    size_t n_listings;
     bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
-    bool filled;    /* rooms have been taken since the order was last thinned out */
     struct pool *pools;
     size_t n_pools;
     struct sorted *sorted;
@@ -106,6 +119,8 @@
 static uint32_t fit_one(double room, double need, uint32_t most) {
     if (need <= 0)
         return most;
+    if (room < need * (1 - EPS))
+        return 0; /* most looks end here, without a division */
     double n = floor(room / need + EPS);
     return n <= 0 ? 0 : n < most ? (uint32_t)n : most;
 }
@@ -220,10 +235,12 @@
 static bool allowed(const struct rp_plan_group *g, int type, int zone, bool spot);
 
 /* What a fetch would delay the group by: nothing if a machine with room holds its image. */
-static double fetch_ahead_s(const struct run *r, const struct rp_plan_group *g) {
+static double fetch_ahead_s(const struct run *r, size_t group) {
+    const struct rp_plan_group *g = &r->in->groups[group];
+    const struct listing *l = &r->listings[r->group_listing[group]];
     double fetch = 0;
-    for (size_t i = 0; i < r->n_order; i++) {
-        size_t at = r->machine_order[i];
+    for (size_t i = 0; i < l->n[ROOM_NOW]; i++) {
+        size_t at = l->at[ROOM_NOW][i];
         const struct rp_plan_machine *m = &r->in->machines[at];
         if (!allowed(g, m->type, m->zone, m->spot) || m->fetch_gb_per_s <= 0 ||
             (m->kept && m->kept != g->ref) || !fits(&g->each, &m->room, 1))
@@ -341,57 +358,103 @@
         const struct rp_plan_group *g = &r->in->groups[i];
         double key = group_key(g, order, i, &fleet, r->plan->short_of_room[on_gpus(g)]);
         if (order == RP_ESW)
-            key += ESW_FETCH * fetch_ahead_s(r, g) - (g->spot ? 0 : ESW_FEW);
+            key += ESW_FETCH * fetch_ahead_s(r, i) - (g->spot ? 0 : ESW_FEW);
         r->sorted[i] = (struct sorted){.item = i, .rank = group_rank(r, i), .key = key};
     }
     sort_into(r->group_order, r->sorted, n);
 }
 
 /* A machine that holds not even the least demanding task is looked at by no group. */
-static bool of_use(const struct run *r, size_t machine) {
-    return fits(&r->least[r->in->machines[machine].type], &r->slots[machine].later, 1) > 0;
+static bool of_use(const struct run *r, const struct listing *l, enum room_kind kind, size_t at) {
+    const struct slot *slot = &r->slots[at];
+    const struct rp_resources *room = kind == ROOM_NOW     ? &slot->room
+                                      : kind == ROOM_LATER ? &slot->later
+                                                           : &slot->spare;
+    return (l->types >> r->in->machines[at].type & 1) && fits(&l->least, room, 1) > 0;
 }
 
-static void thin_out(struct run *r) {
-    size_t kept = 0;
-    if (!r->filled)
+static void thin_out(struct run *r, struct listing *l) {
+    if (!l->filled)
         return;
-    for (size_t i = 0; i < r->n_order; i++)
-        if (of_use(r, r->machine_order[i]))
-            r->machine_order[kept++] = r->machine_order[i];
-    r->n_order = kept;
-    r->filled = false;
-}
-
-static void find_least(struct run *r) {
-    for (int t = 0; t < RP_TYPES_MAX; t++) {
-        struct rp_resources *least = &r->least[t];
-        *least = (struct rp_resources){INFINITY, INFINITY, INFINITY};
-        for (size_t i = 0; i < r->in->n_groups; i++) {
-            const struct rp_plan_group *g = &r->in->groups[i];
-            if (!(g->types >> t & 1))
-                continue;
-            least->cpus = fmin(least->cpus, g->each.cpus);
-            least->gpus = fmin(least->gpus, g->each.gpus);
-            least->memory_gb = fmin(least->memory_gb, g->each.memory_gb);
+    for (int kind = 0; kind < ROOM_KINDS; kind++) {
+        size_t kept = 0;
+        for (size_t i = 0; i < l->n[kind]; i++)
+            if (of_use(r, l, (enum room_kind)kind, l->at[kind][i]))
+                l->at[kind][kept++] = l->at[kind][i];
+        l->n[kind] = kept;
+    }
+    l->filled = false;
+}
+
+static void note_least(struct listing *l, const struct rp_resources *each) {
+    l->least.cpus = fmin(l->least.cpus, each->cpus);
+    l->least.gpus = fmin(l->least.gpus, each->gpus);
+    l->least.memory_gb = fmin(l->least.memory_gb, each->memory_gb);
+}
+
+static size_t listing_for(struct run *r, uint32_t types, const struct rp_resources *each) {
+    size_t at = 0;
+    while (at < r->n_listings && r->listings[at].types != types)
+        at++;
+    if (at >= LISTINGS_MAX) {
+        at = LISTINGS_MAX - 1;
+        r->listings[at].types |= types;
+    } else if (at == r->n_listings) {
+        r->listings[r->n_listings++] = (struct listing){
+            .types = types, .filled = true, .least = {INFINITY, INFINITY, INFINITY}};
+    }
+    note_least(&r->listings[at], each);
+    return at;
+}
+
+/* Which machines each group is to look at, by the types that it may use. */
+static void find_listings(struct run *r) {
+    for (size_t i = 0; i < r->in->n_groups; i++) {
+        const struct rp_plan_group *g = &r->in->groups[i];
+        r->group_listing[i] = listing_for(r, g->types, &g->each);
+        r->spare_listing[i] =
+            g->spare_types ? listing_for(r, g->spare_types, &g->each) : r->group_listing[i];
+    }
+}
+
+/* Fills the lists in the heuristic's order; spare room is looked at in the machines' own order.
+ * Returns false when memory is short. */
+static bool fill_listings(struct run *r) {
+    size_t n = r->in->n_machines;
+    for (size_t k = 0; k < r->n_listings; k++) {
+        struct listing *l = &r->listings[k];
+        for (int kind = 0; kind < ROOM_KINDS; kind++) {
+            l->at[kind] = malloc((n + 1) * sizeof(size_t));
+            if (!l->at[kind])
+                return false;
+            for (size_t i = 0; i < n; i++) {
+                size_t at = kind == ROOM_SPARE ? i : r->machine_order[i];
+                if (of_use(r, l, (enum room_kind)kind, at))
+                    l->at[kind][l->n[kind]++] = at;
+            }
         }
+        l->filled = false;
     }
+    return true;
+}
+
+static void note_filled(struct run *r, size_t machine) {
+    int type = r->in->machines[machine].type;
+    for (size_t k = 0; k < r->n_listings; k++)
+        r->listings[k].filled |= r->listings[k].types >> type & 1;
 }
 
 static void sort_machines(struct run *r, enum rp_machine_order order) {
-    size_t n = 0;
+    size_t n = r->in->n_machines;
     gsl_rng *rng = order == RP_RND ? gsl_rng_alloc(gsl_rng_taus2) : NULL;
     if (rng)
         gsl_rng_set(rng, r->in->seed);
-    for (size_t i = 0; i < r->in->n_machines; i++) {
+    for (size_t i = 0; i < n; i++) {
         bool no_luck = order == RP_RND && !rng;
-        if (!of_use(r, i))
-            continue;
         double key = no_luck ? 0 : machine_key(&r->in->machines[i], order, r->in->unit_s, rng);
-        r->sorted[n++] = (struct sorted){.item = i, .key = key};
+        r->sorted[i] = (struct sorted){.item = i, .key = key};
     }
     sort_into(r->machine_order, r->sorted, n);
-    r->n_order = n;
     if (rng)
         gsl_rng_free(rng);
 }
@@ -468,7 +531,8 @@
         take(&slot->spare, &pl->g->each, count);
     slot->end_s = fmax(slot->end_s, end_s);
     slot->used = true;
-    r->filled = true;
+    if (at < r->in->n_machines)
+        note_filled(r, at);
     int type = slot_type(r, at);
     r->queued_s[type] += count * pl->g->run_s * rp_plan_part(&pl->g->each, slot_capacity(r, at));
     pl->left -= count;
@@ -517,8 +581,10 @@
     /* Urgent work has room made for it rather than wait (measured: it lost by waiting). */
     if (g->priority >= RP_HIGH)
         return;
-    for (size_t i = 0; i < r->n_order && pl->left > 0; i++) {
-        size_t at = r->machine_order[i];
+    const struct listing *l = &r->listings[r->group_listing[pl->index]];
+    for (size_t i = 0; i < l->n[ROOM_LATER] && pl->left > 0; i++) {
+        size_t at = l->at[ROOM_LATER][i];
+        r->plan->n_looks++;
         const struct rp_plan_machine *m = &r->in->machines[at];
         /* The cheap look first: under overload nearly no machine has any room left. */
         if (g->has_image && g->has_image[at] && fits(&g->each, &r->slots[at].later, 1) &&
@@ -529,11 +595,14 @@
 
 /* Machines that have the image come first: a fetch costs a good part of a short task's time. */
 static void try_machines(struct run *r, struct placing *pl, bool later) {
+    const struct listing *l = &r->listings[r->group_listing[pl->index]];
+    enum room_kind kind = later ? ROOM_LATER : ROOM_NOW;
     for (int with_image = 1; with_image >= 0; with_image--) {
         if (!later && !with_image)
             try_image_holders(r, pl);
-        for (size_t i = 0; i < r->n_order && pl->left > 0; i++) {
-            size_t at = r->machine_order[i];
+        for (size_t i = 0; i < l->n[kind] && pl->left > 0; i++) {
+            size_t at = l->at[kind][i];
+            r->plan->n_looks++;
             bool has = pl->g->has_image && pl->g->has_image[at];
             if (has == (with_image == 1))
                 try_machine(r, pl, at, later);
@@ -682,10 +751,13 @@
  * the GPUs may take that, where it is over before the machine's own work. */
 static void try_spare(struct run *r, struct placing *pl) {
     const struct rp_plan_group *g = pl->g;
+    const struct listing *l = &r->listings[r->spare_listing[pl->index]];
     if (!g->spare_types)
         return;
     for (int with_image = 1; with_image >= 0; with_image--)
-        for (size_t at = 0; at < r->in->n_machines && pl->left > 0; at++) {
+        for (size_t i = 0; i < l->n[ROOM_SPARE] && pl->left > 0; i++) {
+            size_t at = l->at[ROOM_SPARE][i];
+            r->plan->n_looks++;
             const struct rp_plan_machine *m = &r->in->machines[at];
             bool has = g->has_image && g->has_image[at];
             if (has != (with_image == 1) || !(g->spare_types >> m->type & 1) ||
@@ -745,7 +817,8 @@
 
 static void place_group(struct run *r, size_t index) {
     struct placing pl;
-    thin_out(r);
+    thin_out(r, &r->listings[r->group_listing[index]]);
+    thin_out(r, &r->listings[r->spare_listing[index]]);
     begin(r, &pl, index);
     const struct rp_plan_group *g = pl.g;
     uint32_t want = quota(r, g);
@@ -818,11 +891,13 @@
     r.machine_order = calloc(in->n_machines + 1, sizeof(size_t));
     r.sorted = calloc(most + 1, sizeof *r.sorted);
     r.given_up = calloc(in->n_groups + 1, sizeof *r.given_up);
+    r.group_listing = calloc(in->n_groups + 1, sizeof(size_t));
+    r.spare_listing = calloc(in->n_groups + 1, sizeof(size_t));
     r.pools = calloc(in->n_machines + 1, sizeof *r.pools);
     r.cpus_left = calloc(in->n_teams + 1, sizeof(double));
     r.gpus_left = calloc(in->n_teams + 1, sizeof(double));
     if (!r.slots || !r.group_order || !r.machine_order || !r.sorted || !r.pools || !r.given_up ||
-        !r.cpus_left || !r.gpus_left) {
+        !r.group_listing || !r.spare_listing || !r.cpus_left || !r.gpus_left) {
         out->failed = true;
         goto out;
     }
@@ -835,9 +910,13 @@
         r.cpus_left[i] = in->teams[i].cpus_left;
         r.gpus_left[i] = in->teams[i].gpus_left;
     }
-    find_least(&r);
+    find_listings(&r);
     fill_pools(&r);
     sort_machines(&r, h.machines);
+    if (!fill_listings(&r)) {
+        out->failed = true;
+        goto out;
+    }
     sort_groups(&r, h.jobs);
     for (size_t i = 0; i < in->n_groups && !out->failed; i++)
         place_group(&r, r.group_order[i]);
@@ -849,6 +928,11 @@
     free(r.sorted);
     free(r.pools);
     free(r.given_up);
+    free(r.group_listing);
+    free(r.spare_listing);
+    for (size_t k = 0; k < r.n_listings; k++)
+        for (int kind = 0; kind < ROOM_KINDS; kind++)
+            free(r.listings[k].at[kind]);
     free(r.cpus_left);
     free(r.gpus_left);
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -129,6 +129,7 @@
     bool short_of_room[2]; /* work without GPUs, and with: not all of it can be in time */
     double left;           /* work that found no place, weighed by priority */
     double cost;           /* formula (1) */
+    unsigned long n_looks; /* machines looked at, over all groups */
     bool failed;           /* out of memory */
 };
 
--- a/src/room.c
+++ b/src/room.c
@@ -26,8 +26,8 @@
 }
 
 /* The job that room is kept for on this machine, while it is still waited for. */
-const struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m) {
-    const struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
+struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m) {
+    struct rp_job *job = *m->reserved ? rp_jobs_find(r->jobs, m->reserved) : NULL;
     if (!job || job->state != RP_JOB_OPEN || !rp_machine_usable(m) ||
         job->n_counted >= (rp_room_whole(job) ? job->spec.n_tasks : 1) ||
         rp_ts_reached(rp_loop_now(r->loop), m->reserved_until))
@@ -38,15 +38,14 @@
     return rp_resources_fit(&job->spec.each, &room) ? NULL : job;
 }
 
-bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job) {
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
-        if (rp_room_reserved_for(r, m) == job)
-            return true;
-    return false;
+void rp_room_mark_held(const struct rp_round *r) {
+    for (const struct rp_machine *m = r->picture->first; m; m = m->next) {
+        struct rp_job *job = rp_room_reserved_for(r, m);
+        if (job)
+            job->held_round = r->n_rounds;
+    }
 }
 
-/* ---- what no plan does: gangs that lost a task, room for higher priorities ---- */
-
 /* ---- gangs that lost a task ---- */
 
 /* What is known of a gang's attempt. */
--- a/src/room.h
+++ b/src/room.h
@@ -6,8 +6,9 @@
 #include "round_input.h"
 
 /* The job that room is kept for on this machine, while it is still waited for. */
-const struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m);
-bool rp_room_has_reservation(const struct rp_round *r, const struct rp_job *job);
+struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m);
+/* Marks the jobs that room is kept for with this round's number. */
+void rp_room_mark_held(const struct rp_round *r);
 /* A gang of several tasks: machines are kept for it whole. */
 bool rp_room_whole(const struct rp_job *job);
 void rp_room_mend_gangs(struct rp_round *r, struct timespec now);
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -20,6 +20,7 @@
     free(x->groups);
     free(x->teams);
     free(x->has_image);
+    free(x->images);
     free(x->ends);
 }
 
@@ -208,6 +209,7 @@
     x->ends = calloc(places, sizeof *x->ends);
     if (!x->machines || !x->ends)
         return;
+    rp_room_mark_held(r);
     for (struct rp_machine *m = r->picture->first; m; m = m->next)
         if (plannable(r, m, now)) {
             describe_machine(r, m, &x->machines[x->in.n_machines++], &x->ends[x->n_ends], now);
@@ -306,7 +308,7 @@
                                 .spread_max = (spec->n_tasks + 1) / 2};
     allowed_types(r, spec, g);
     g->slack_s = slack(r, job, g);
-    g->held = rp_room_has_reservation(r, job);
+    g->held = job->held_round == r->n_rounds;
     for (size_t z = 0; z < c->n_zones; z++) {
         if (!*spec->zone || strcmp(spec->zone, c->zones[z]) == 0)
             g->zones |= 1u << z;
@@ -316,17 +318,50 @@
     }
 }
 
+static int by_hash(const void *a, const void *b) {
+    uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+    return x < y ? -1 : x > y;
+}
+
+/* The image's place among those that the groups need, or n_images. */
+static size_t image_index(const struct rp_round_input *x, uint64_t hash) {
+    const uint64_t *found = bsearch(&hash, x->images, x->n_images, sizeof hash, by_hash);
+    return found ? (size_t)(found - x->images) : x->n_images;
+}
+
+static bool list_images(struct rp_round_input *x) {
+    x->images = calloc(x->in.n_groups + 1, sizeof *x->images);
+    if (!x->images)
+        return false;
+    for (size_t g = 0; g < x->in.n_groups; g++)
+        x->images[g] = ((const struct rp_job *)x->groups[g].ref)->image_hash;
+    qsort(x->images, x->in.n_groups, sizeof *x->images, by_hash);
+    for (size_t g = 0; g < x->in.n_groups; g++)
+        if (g == 0 || x->images[g] != x->images[x->n_images - 1])
+            x->images[x->n_images++] = x->images[g];
+    return true;
+}
+
+/* Hundreds of jobs share a few images: which machines hold one is found once for all of them. Names
+ * are told apart by their hashes, as what a wrong guess costs is a fetch. */
 static void build_images(struct rp_round_input *x) {
     size_t n = x->in.n_machines;
-    x->has_image = calloc(x->in.n_groups * n + 1, sizeof(bool));
-    for (size_t g = 0; x->has_image && g < x->in.n_groups; g++) {
+    if (!list_images(x))
+        return;
+    x->has_image = calloc(x->n_images * n + 1, sizeof(bool));
+    if (!x->has_image)
+        return;
+    for (size_t m = 0; m < n; m++) {
+        const struct rp_machine *machine = x->machines[m].ref;
+        for (size_t i = 0; machine && i < machine->n_images; i++) {
+            size_t at = image_index(x, machine->images[i].hash);
+            if (at < x->n_images)
+                x->has_image[at * n + m] = true;
+        }
+    }
+    for (size_t g = 0; g < x->in.n_groups; g++) {
         const struct rp_job *job = x->groups[g].ref;
-        uint64_t hash = rp_text_hash(job->spec.image);
-        for (size_t m = 0; m < n; m++)
-            if (x->machines[m].ref)
-                x->has_image[g * n + m] =
-                    rp_machine_has_hashed(x->machines[m].ref, job->spec.image, hash);
-        x->groups[g].has_image = &x->has_image[g * n];
+        x->groups[g].has_image = &x->has_image[image_index(x, job->image_hash) * n];
     }
 }
 
--- a/src/workers.c
+++ b/src/workers.c
@@ -1,5 +1,6 @@
 #include "workers.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include "log.h"
@@ -12,6 +13,7 @@
 #define LEASE_MARGIN_S 0.25
 /* A worker waits so long for an answer, then it goes to another node (PROTOCOL). */
 #define ANSWER_WAIT_S 4.0
+#define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
 
@@ -57,21 +59,14 @@
 
 static void add_foreign(struct rp_workers *w, struct rp_machine *m,
                         const struct rp_task_report *t) {
-    if (!m->foreign)
-        m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
-    if (!m->foreign)
-        abort(); /* out of memory: a restart is the honest answer */
-    if (m->n_foreign == RP_FOREIGN_KEPT) {
-        /* The machine gets no work while it has any, so the rest is stopped from a later report. */
-        if (w->n_over_bounds++ == 0)
-            rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
+    struct rp_foreign f = {
+        .task = t->task, .attempt = t->attempt, .exited = t->state == RP_TASK_EXITED};
+    strcpy(f.job, t->job);
+    if (rp_machine_add_foreign(w->picture, m, &f))
         return;
-    }
-    struct rp_foreign *f = &m->foreign[m->n_foreign++];
-    strcpy(f->job, t->job);
-    f->task = t->task;
-    f->attempt = t->attempt;
-    f->exited = t->state == RP_TASK_EXITED;
+    /* The machine gets no work while it has any, so the rest is stopped from a later report. */
+    if (w->n_over_bounds++ == 0)
+        rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
 }
 
 static void blame(struct rp_workers *w, struct rp_machine *m, struct rp_job *job) {
@@ -184,8 +179,12 @@
 static void note_hearing(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
     struct timespec now = rp_loop_now(w->loop);
     bool first = m->session == 0;
+    /* Reports are report_s apart, give or take a quarter: where that is 4 s, every second report of
+     * a good machine came later than 4 s after the one before, and a quarter of a large fleet stood
+     * idle as deaf. One that got no answer asks another node first: by then 6 s are over. */
+    double limit = fmax(ANSWER_WAIT_S, w->settings->report_s * 1.25 + REPORT_SLACK_S);
     bool follows = r->session == m->session && r->seq == m->seq + 1 &&
-                   rp_ts_since(now, m->last_report) < ANSWER_WAIT_S;
+                   rp_ts_since(now, m->last_report) < limit;
     if (first || follows) {
         if (rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > ANSWER_WAIT_S)
             rp_info("machine %s gets answers again", m->name);
@@ -243,8 +242,8 @@
     m->seq = r->seq;
     m->last_report = rp_loop_now(w->loop);
     strcpy(m->addr, r->addr);
-    m->token_seen = r->token == w->election->token;
-    m->n_foreign = 0;
+    rp_machine_note_token(w->picture, m, r->token == w->election->token);
+    rp_machine_clear_foreign(w->picture, m);
     for (size_t i = 0; i < m->n_places; i++)
         m->places[i].marked = false;
     for (size_t i = 0; i < r->n_tasks; i++)
@@ -383,6 +382,47 @@
     }
 }
 
+static void answer_with_commands(struct rp_workers *w, struct rp_request *req,
+                                 struct rp_machine *m) {
+    struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
+    if (!b.list) {
+        respond(req, 503, NULL);
+        return;
+    }
+    if (m->token_seen) {
+        command_foreign(&b, m);
+        command_ends(&b, m, rp_loop_now(w->loop));
+        command_starts(w, &b, m);
+    }
+    answer(w, req, m, &b);
+    free(b.list);
+}
+
+static size_t busy_places(const struct rp_machine *m) {
+    size_t n = 0;
+    for (size_t i = 0; i < m->n_places; i++)
+        n += m->places[i].state != RP_PLACE_EXITED;
+    return n;
+}
+
+/* Rounds keep a distance, and on a large fleet nearly every report brings news between two of them:
+ * a start planned a moment after the answer had to wait for the machine's next report, seconds
+ * later. So the answer waits for the round, which is a small part of what a worker waits. Whether
+ * it may be given at all is asked when it is given, as for any other. */
+static void hold(struct rp_workers *w, struct rp_request *req, const struct rp_machine *m) {
+    if (w->n_held == w->cap_held) {
+        size_t cap = w->cap_held ? w->cap_held * 2 : 64;
+        struct rp_held_report *held = realloc(w->held, cap * sizeof *held);
+        if (!held)
+            abort(); /* out of memory: a restart is the honest answer */
+        w->held = held;
+        w->cap_held = cap;
+    }
+    struct rp_held_report *h = &w->held[w->n_held++];
+    *h = (struct rp_held_report){.req = req, .session = m->session, .seq = m->seq};
+    strcpy(h->machine, m->name);
+}
+
 static void handle(struct rp_workers *w, struct rp_request *req, const struct rp_report *r) {
     struct rp_machine *m = machine_of(w, r);
     if (!m) {
@@ -402,7 +442,7 @@
         respond(req, 503, rp_wire_error("a newer report is known"));
         return;
     }
-    size_t places = m->n_places;
+    size_t busy = busy_places(m);
     bool was_up = m->state == RP_MACHINE_UP;
     read_report(w, m, r);
     if (!m->recorded)
@@ -415,20 +455,36 @@
         answer(w, req, m, NULL);
         return;
     }
-    if (w->on_room && (m->n_places < places || !was_up))
-        w->on_room(w->arg);
-    struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
-    if (!b.list) {
-        respond(req, 503, NULL);
-        return;
-    }
-    if (m->token_seen) {
-        command_foreign(&b, m);
-        command_ends(&b, m, rp_loop_now(w->loop));
-        command_starts(w, &b, m);
+    bool news = busy_places(m) < busy || !was_up;
+    if (news && w->on_room && !w->on_room(w->arg))
+        hold(w, req, m);
+    else
+        answer_with_commands(w, req, m);
+}
+
+void rp_workers_answer_held(struct rp_workers *w) {
+    struct rp_held_report *held = w->held;
+    size_t n = w->n_held;
+    w->held = NULL;
+    w->n_held = w->cap_held = 0;
+    for (size_t i = 0; i < n; i++) {
+        struct rp_machine *m = w->ready ? rp_machine_find(w->picture, held[i].machine) : NULL;
+        if (!w->ready)
+            not_here(w, held[i].req);
+        else if (!m || m->session != held[i].session || m->seq != held[i].seq)
+            respond(held[i].req, 503, rp_wire_error("a newer report is known"));
+        else if (m->state == RP_MACHINE_LOST || m->state == RP_MACHINE_RETURNING)
+            respond(held[i].req, 503, rp_wire_error("this machine goes back"));
+        else
+            answer_with_commands(w, held[i].req, m);
     }
-    answer(w, req, m, &b);
-    free(b.list);
+    free(held);
+}
+
+void rp_workers_close(struct rp_workers *w) {
+    free(w->held);
+    w->held = NULL;
+    w->n_held = w->cap_held = 0;
 }
 
 void rp_workers_report(struct rp_workers *w, struct rp_request *req) {
--- a/src/workers.h
+++ b/src/workers.h
@@ -6,6 +6,13 @@
 #include "metrics.h"
 #include "picture.h"
 
+/* A report that brought news, whose answer waits for the round that this calls for. */
+struct rp_held_report {
+    struct rp_request *req;
+    char machine[RP_TEXT_MAX];
+    uint64_t session, seq;
+};
+
 struct rp_workers {
     struct rp_loop *loop;
     struct rp_election *election;
@@ -14,9 +21,12 @@
     struct rp_fleet *fleet;
     const struct rp_settings *settings;
     struct rp_metrics *metrics;
-    bool ready;                 /* the records are loaded */
-    void (*on_room)(void *arg); /* places became free */
+    bool ready; /* the records are loaded */
+    /* Room became free. False: a round comes within a moment, and answers wait for it. */
+    bool (*on_room)(void *arg);
     void *arg;
+    struct rp_held_report *held;
+    size_t n_held, cap_held;
     unsigned long n_reports, n_stale, n_starts;
     unsigned long n_over_bounds; /* tasks of unknown jobs beyond RP_FOREIGN_KEPT on a machine */
 };
@@ -25,6 +35,10 @@
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
                      const struct rp_settings *settings, struct rp_metrics *metrics);
 void rp_workers_report(struct rp_workers *w, struct rp_request *req);
+/* A round has been run, or none will be: the reports that waited for it are answered. */
+void rp_workers_answer_held(struct rp_workers *w);
+/* Forgets them unanswered: the process ends. */
+void rp_workers_close(struct rp_workers *w);
 /* How long after an answer the machine's tasks may still live, on our clock. */
 double rp_workers_lease_s(const struct rp_settings *settings);
 
