--- a/src/api.c
+++ b/src/api.c
@@ -121,16 +121,30 @@
         op_unavailable(op);
 }
 
+/* A description that the state service can't keep can't be accepted, however often it comes. */
+static bool storable(const struct op *op, json_t *record) {
+    size_t most = (size_t)(op->node->settings->state_value_kb * 1024);
+    return json_dumpb(record, NULL, 0, JSON_COMPACT) <= most;
+}
+
 static void write_submission(struct op *op) {
     struct timespec wall;
     char open[RP_KEY_MAX], over[RP_KEY_MAX];
-    json_t *txn = rp_wire_txn();
     clock_gettime(CLOCK_REALTIME, &wall);
+    json_t *record = rp_record_open(&op->spec, wall);
+    if (!storable(op, record)) {
+        json_decref(record);
+        strcpy(op->why, "the description is longer than the state service can keep");
+        op->refusal = 422;
+        op_next(op, OP_READ_OPEN);
+        return;
+    }
+    json_t *txn = rp_wire_txn();
     rp_key(open, RP_KEY_OPEN, op->id);
     rp_key(over, RP_KEY_OVER, op->id);
     rp_wire_txn_if(txn, open, 0);
     rp_wire_txn_if(txn, over, 0);
-    rp_wire_txn_put(txn, open, rp_record_open(&op->spec, wall), 0);
+    rp_wire_txn_put(txn, open, record, 0);
     rp_state_txn(&op->node->state, RP_SHARE_SUBMISSIONS, txn, written, op);
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,12 +10,19 @@
 
 #define TICK_S 0.5
 #define LIST_PAGE 500
+#define LOAD_PAGE 1000
 #define DELETE_MAX 100
-#define NAMES_MAX 64 /* machines of a rental: at most 50 are asked for at once */
+#define RENT_MAX 50     /* machines in a request (PROTOCOL) */
+#define RECORD_HEAD 512 /* bytes of a rental's record besides its machines' names */
+#define RECORD_NAME 32  /* a machine's name in it */
+#define NAMES_MAX 64    /* machines of a rental: at most 50 are asked for at once */
 #define NEWS_MAX_S 9.0
 #define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 16.0
+#define MANY_LOST 5 /* so many machines lost at the same time, and such a share of all, */
+#define MANY_LOST_SHARE                                                                            \
+    0.03 /* were hardly lost one by one: a cut ends, those that died are listed */
 #define ZONE_BACK_S 12.0
 #define ZONE_GRACE_S 75.0 /* when most of its zone fell silent with it */
 /* A machine that reports but gets no answers has had its lease's time, and more, to recover. */
@@ -281,12 +288,8 @@
     rp_state_txn(f->state, RP_SHARE_LEADER, txn, rental_written, r);
 }
 
-static struct rp_refusal *refusal_find(const struct rp_fleet *f, int type, int zone, bool spot) {
-    for (size_t i = 0; i < f->n_refusals; i++)
-        if (f->refusals[i].type == type && f->refusals[i].zone == zone &&
-            f->refusals[i].spot == spot)
-            return (struct rp_refusal *)&f->refusals[i];
-    return NULL;
+static struct rp_refusal *refusal_of(struct rp_fleet *f, int type, int zone, bool spot) {
+    return type < 0 || zone < 0 ? NULL : &f->refusals[type][zone][spot];
 }
 
 /* Each try costs a call to the cloud and two changes of the state service, and until it is answered
@@ -296,18 +299,9 @@
     int zone = zone_index(f->catalog, rental->record.zone);
     double base = f->settings->tuning.refused_pause_s;
     struct timespec now = rp_loop_now(f->loop);
-    struct rp_refusal *found = refusal_find(f, type, zone, rental->record.spot);
-    if (!found) {
-        if (f->n_refusals == RP_REFUSALS_MAX) {
-            /* It is asked for again in the next round: only the pause is lost. */
-            f->n_over_bounds++;
-            rp_error("more than %d kinds are refused: no pause for %s", RP_REFUSALS_MAX,
-                     rental->record.type);
-            return;
-        }
-        found = &f->refusals[f->n_refusals++];
-        *found = (struct rp_refusal){.type = type, .zone = zone, .spot = rental->record.spot};
-    }
+    struct rp_refusal *found = refusal_of(f, type, zone, rental->record.spot);
+    if (!found)
+        return;
     bool again = found->pause_s > 0 && rp_ts_since(now, found->until) < found->pause_s;
     found->pause_s = again ? fmin(found->pause_s * 2, base * REFUSED_PAUSES) : base;
     found->until = rp_ts_after(now, found->pause_s);
@@ -317,17 +311,14 @@
 }
 
 bool rp_fleet_refused(const struct rp_fleet *f, int type, int zone, bool spot) {
-    const struct rp_refusal *found = refusal_find(f, type, zone, spot);
-    return found && !rp_ts_reached(rp_loop_now(f->loop), found->until);
+    return !rp_ts_reached(rp_loop_now(f->loop), f->refusals[type][zone][spot].until);
 }
 
 /* A machine of the kind is gone: the cloud may have one again. */
 static void refusal_over(struct rp_fleet *f, const struct rp_machine *m) {
-    struct rp_refusal *found = refusal_find(f, m->type, m->zone, m->spot);
+    struct rp_refusal *found = refusal_of(f, m->type, m->zone, m->spot);
     if (found)
-        found->pause_s = 0;
-    if (found)
-        found->until = rp_loop_now(f->loop);
+        *found = (struct rp_refusal){0};
 }
 
 static void rented(struct rp_fleet *f, struct rp_rental *rental, const struct rp_answer *answer) {
@@ -419,6 +410,12 @@
     }
 }
 
+/* As many machines as one request may ask for, and one record may name, twice each. */
+static unsigned rental_most(const struct rp_fleet *f) {
+    double fit = (f->settings->state_value_kb * 1024 - RECORD_HEAD) / (2 * RECORD_NAME);
+    return fit < 1 ? 1 : fit < RENT_MAX ? (unsigned)fit : RENT_MAX;
+}
+
 void rp_fleet_rent(struct rp_fleet *f, int type, int zone, bool spot, unsigned count) {
     char name[RP_TEXT_MAX];
     snprintf(name, sizeof name, "r-%llu-%lu", (unsigned long long)f->election->token,
@@ -427,7 +424,7 @@
     strcpy(rental->record.type, f->catalog->types[type].name);
     strcpy(rental->record.zone, f->catalog->zones[zone]);
     rental->record.spot = spot;
-    rental->record.count = count;
+    rental->record.count = count < rental_most(f) ? count : rental_most(f);
     clock_gettime(CLOCK_REALTIME, &rental->record.asked);
     rental_enter(f, rental, RP_RENTAL_WRITING);
     rental_step(f, rental);
@@ -728,13 +725,27 @@
                            struct timespec now) {
     bool out = m->zone >= 0 && !rp_ts_zero(f->zone_out_seen[m->zone]) &&
                rp_ts_since(now, f->zone_out_seen[m->zone]) < ZONE_BACK_S;
-    return out ? ZONE_GRACE_S : LOST_GRACE_S;
+    bool many = !rp_ts_zero(f->many_lost_seen) && rp_ts_since(now, f->many_lost_seen) < ZONE_BACK_S;
+    return out || many ? ZONE_GRACE_S : LOST_GRACE_S;
 }
 
 bool rp_fleet_zone_out(const struct rp_fleet *f, int zone) {
     return zone >= 0 && (f->zones_out >> zone & 1);
 }
 
+/* A cut of many machines, of one zone or not, passes like a zone's: to give them all back and rent
+ * anew costs a boot and every image. What has died is told by the cloud's list within half a
+ * minute. */
+static void note_many_lost(struct rp_fleet *f, struct timespec now) {
+    size_t lost = 0, known = 0;
+    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+        known += m->state != RP_MACHINE_BOOTING && m->state != RP_MACHINE_RETURNING;
+        lost += m->state == RP_MACHINE_LOST;
+    }
+    if (lost >= MANY_LOST && (double)lost >= MANY_LOST_SHARE * (double)known)
+        f->many_lost_seen = now;
+}
+
 static void watch_machine(struct rp_fleet *f, struct rp_machine *m, bool cut_off,
                           struct timespec now) {
     double led = rp_ts_since(now, f->led_since);
@@ -784,6 +795,7 @@
         f->proven_since = now;
     bool cut_off = isolated(f, now);
     note_zones(f, now);
+    note_many_lost(f, now);
     if (!rp_ts_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
         rp_info("most machines are silent: another node may reach them");
         rp_election_resign(f->election, STAND_BACK_S);
@@ -866,7 +878,7 @@
 }
 
 static void load_page(struct rp_fleet *f, const char *after) {
-    rp_state_list(f->state, RP_SHARE_LEADER, RP_KEY_RENTAL, after, 200, loaded,
+    rp_state_list(f->state, RP_SHARE_LEADER, RP_KEY_RENTAL, after, LOAD_PAGE, loaded,
                   request_new(f, NULL));
 }
 
@@ -880,9 +892,10 @@
     f->generation++;
     f->listing = f->deleting = false;
     f->zones_out = 0;
+    f->many_lost_seen = (struct timespec){0};
     memset(f->zone_out_seen, 0, sizeof f->zone_out_seen);
     f->proven_since = f->isolated_since = (struct timespec){0};
-    f->n_refusals = 0;
+    memset(f->refusals, 0, sizeof f->refusals);
     rp_timer_cancel(f->loop, &f->timer);
     for (struct rp_machine *m = f->picture->first; m; m = m->next)
         m->rental = NULL;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -26,16 +26,15 @@
     struct rp_rental *next;
 };
 
-/* A kind of machine that the cloud has lately refused. */
+/* What the cloud has lately refused of a kind of machine. */
 struct rp_refusal {
-    int type, zone;
-    bool spot;
     struct timespec until;
-    double pause_s; /* grows while the kind goes on being refused */
+    double pause_s; /* grows while the kind goes on being refused; 0: it isn't */
 };
-#define RP_REFUSALS_MAX 256
-/* A late copy of a report may come minutes after its machine: at one return a second, an hour's. */
-#define RP_GONE_KEPT 4096
+/* A late copy of a report may come minutes after its machine: at ten returns a second, half an
+ * hour's.
+ */
+#define RP_GONE_KEPT 16384
 
 struct rp_fleet {
     struct rp_loop *loop;
@@ -47,8 +46,7 @@
     const struct rp_settings *settings;
     struct rp_catalog *catalog;
     struct rp_rental *rentals;
-    struct rp_refusal refusals[RP_REFUSALS_MAX];
-    size_t n_refusals;
+    struct rp_refusal refusals[RP_TYPES_MAX][RP_ZONES_MAX][2]; /* ordinary, spot */
     uint64_t gone[RP_GONE_KEPT]; /* hashes of machines certainly gone: late news of them is void */
     size_t n_gone;
     unsigned long generation;
@@ -58,6 +56,7 @@
     struct timespec isolated_since; /* most machines fell silent together; zero: they didn't */
     uint32_t zones_out;             /* bit set: most machines of the zone are silent */
     struct timespec zone_out_seen[RP_ZONES_MAX]; /* when they last were; zero: never */
+    struct timespec many_lost_seen; /* when a good part of the machines was lost; zero: never */
     bool listing, deleting;
     struct timespec next_list, next_catalog;
     char list_after[RP_TEXT_MAX];
@@ -66,7 +65,6 @@
     void (*on_changed)(void *arg);
     void *arg;
     unsigned long n_rented, n_refused, n_returned;
-    unsigned long n_over_bounds; /* refused kinds beyond RP_REFUSALS_MAX */
 };
 
 void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
--- a/src/http.c
+++ b/src/http.c
@@ -12,6 +12,8 @@
 #include "log.h"
 
 #define READ_SIZE 16384
+#define BACKLOG 4096 /* after a takeover all workers come at once */
+#define ACCEPTS 256  /* connections taken in one turn */
 
 static int parse_addr(const char *addr, struct sockaddr_in *out) {
     char host[64];
@@ -85,15 +87,31 @@
         s->conns = c->next;
     if (c->next)
         c->next->prev = c->prev;
+    else
+        s->last = c->prev;
     s->n_conns--;
 }
 
+static void conn_link(struct rp_http_conn *c) {
+    struct rp_http_server *s = c->server;
+    c->prev = NULL;
+    c->next = s->conns;
+    if (s->conns)
+        s->conns->prev = c;
+    else
+        s->last = c;
+    s->conns = c;
+    s->n_conns++;
+}
+
 /* The one place where a server connection changes its state. */
 static void conn_enter(struct rp_http_conn *c, enum conn_state state) {
     struct rp_loop *loop = c->server ? c->server->loop : NULL;
     c->state = state;
     switch (state) {
     case CONN_RECEIVING:
+        conn_unlink(c);
+        conn_link(c);
         rp_timer_set(loop, &c->timer, c->server->limits.idle_s);
         rp_watch_change(loop, &c->watch, EPOLLIN);
         break;
@@ -314,14 +332,28 @@
     close(fd);
 }
 
+/* Workers and users that have gone to another node leave their connections open: a node that a
+ * thousand workers come to must not refuse them, or a health check, for the sake of those. */
+static bool server_evict(struct rp_http_server *s) {
+    struct rp_http_conn *c = s->last;
+    while (c && !(c->state == CONN_RECEIVING && rp_http_parser_idle(&c->parser)))
+        c = c->prev;
+    if (!c)
+        return false;
+    s->evicted++;
+    conn_drop(c);
+    return true;
+}
+
 static void server_accept(void *arg, uint32_t events) {
     struct rp_http_server *s = arg;
     (void)events;
-    for (int i = 0; i < 32; i++) {
+    for (int i = 0; i < ACCEPTS; i++) {
         int fd = accept4(s->watch.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
-        struct rp_http_conn *c = s->n_conns < s->limits.max_conns ? calloc(1, sizeof *c) : NULL;
+        bool room = s->n_conns < s->limits.max_conns || server_evict(s);
+        struct rp_http_conn *c = room ? calloc(1, sizeof *c) : NULL;
         if (!c) {
             server_turn_away(s, fd);
             continue;
@@ -332,11 +364,7 @@
         c->watch = (struct rp_watch){.fd = fd, .fn = conn_event, .arg = c};
         c->timer = (struct rp_timer){.fn = conn_timeout, .arg = c};
         rp_http_parser_init(&c->parser, RP_HTTP_REQUEST, s->limits.body_max);
-        c->next = s->conns;
-        if (s->conns)
-            s->conns->prev = c;
-        s->conns = c;
-        s->n_conns++;
+        conn_link(c);
         if (rp_watch_add(s->loop, &c->watch, EPOLLIN) < 0)
             conn_drop(c);
         else
@@ -356,7 +384,7 @@
     if (fd < 0)
         return -errno;
     if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) < 0 ||
-        bind(fd, (struct sockaddr *)&sa, sizeof sa) < 0 || listen(fd, 256) < 0) {
+        bind(fd, (struct sockaddr *)&sa, sizeof sa) < 0 || listen(fd, BACKLOG) < 0) {
         rc = -errno;
         close(fd);
         return rc;
--- a/src/http.h
+++ b/src/http.h
@@ -11,7 +11,7 @@
 struct rp_http_call;
 
 struct rp_http_limits {
-    size_t max_conns; /* beyond this a new connection is told 503 and closed */
+    size_t max_conns; /* beyond this the connection idle for longest makes room for a new one */
     size_t body_max;  /* of a request */
     double idle_s;    /* a connection without a request */
     double receive_s; /* from the first to the last byte of a request */
@@ -24,9 +24,9 @@
     struct rp_http_limits limits;
     rp_request_fn fn;
     void *arg;
-    struct rp_http_conn *conns;
+    struct rp_http_conn *conns, *last; /* the one in use latest first */
     size_t n_conns;
-    unsigned long refused;
+    unsigned long refused, evicted;
 };
 
 int rp_http_server_open(struct rp_http_server *s, struct rp_loop *loop, const char *addr,
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -5,10 +5,11 @@
 #include "log.h"
 #include "wire.h"
 
-#define PAGE 200
+#define PAGE 1000
 #define FOLLOW_HOLD_S 3.0
 #define DEAF_S 14.0 /* without news from the watch */
 #define FLUSH_EVERY_S 0.25
+#define FLUSH_MOST 24   /* records of some 2.2 KB each: a transaction may have 64 KiB */
 #define FLUSH_AGE_S 2.0 /* progress waits this long for company; a finished job never does */
 
 /* A request of the table, marked with the leadership it belongs to. */
@@ -343,8 +344,10 @@
         if (n > 0 && t->on_changed)
             t->on_changed(t->arg);
     } else if (result->outcome == RP_STATE_GONE) {
-        /* The watch fell too far behind: the whole table is read again. */
-        load_failed(t);
+        /* The watch fell too far behind: the table has to be read again, and with it the picture of
+         * who may be where. Under the same token old copies of reports would pass for news there,
+         * and attempt numbers for new ones: another term begins. */
+        rp_election_resign(t->election, 0);
     } else {
         t->follow_sent = (struct timespec){0}; /* the tick starts it again */
     }
@@ -501,7 +504,7 @@
 static void flush(struct rp_jobs *t) {
     struct timespec now = rp_loop_now(t->loop);
     double room = rp_state_room(t->state, RP_SHARE_LEADER) - 3; /* left for finishing jobs */
-    size_t most = t->settings->state_txn_ops;
+    size_t most = t->settings->state_txn_ops < FLUSH_MOST ? t->settings->state_txn_ops : FLUSH_MOST;
     if (room < 1)
         return;
     if ((double)most > room)
--- a/src/main.c
+++ b/src/main.c
@@ -160,15 +160,18 @@
     struct rp_http_server users, peers;
     struct rp_node *node = calloc(1, sizeof *node);
     struct leaving leaving = {.loop = &loop, .node = node};
-    /* Sockets: users and workers get most, calls of our own a part, the rest stays free. */
+    /* Sockets: calls of our own and the other nodes get a part each, a few stay free, and users and
+     * workers get the rest, since after a takeover all workers may come to one node. */
     size_t own = s->max_connections / 8 < 64 ? s->max_connections / 8 : 64;
-    struct rp_http_limits user_limits = {.max_conns = s->max_connections * 3 / 4,
+    size_t peer = s->max_connections / 16 < 64 ? s->max_connections / 16 : 64;
+    size_t spare = s->max_connections / 16 < 32 ? s->max_connections / 16 : 32;
+    struct rp_http_limits user_limits = {.max_conns = s->max_connections - own - peer - spare,
                                          .body_max = 65536,
                                          .idle_s = 120,
                                          .receive_s = 10,
                                          .send_s = 10};
     struct rp_http_limits peer_limits = user_limits;
-    peer_limits.max_conns = s->max_connections / 16;
+    peer_limits.max_conns = peer;
     int rc = node ? rp_loop_init(&loop, false) : -ENOMEM;
     if (rc < 0)
         goto out;
--- a/src/node.c
+++ b/src/node.c
@@ -228,19 +228,20 @@
 
 static char *summary_json(const struct rp_node *n) {
     json_t *jobs = json_object();
-    size_t count = 0;
-    for (const struct rp_job *job = n->jobs.first; job && count < RP_SUMMARY_MAX; job = job->next)
-        if ((job->n_done || job->n_running) && job->state != RP_JOB_CLOSED) {
+    for (const struct rp_job *job = n->jobs.first; job; job = job->next)
+        if ((job->n_done || job->n_running) && job->state != RP_JOB_CLOSED)
             json_object_set_new(jobs, job->spec.id,
                                 json_pack("[i,i]", (int)job->n_done, (int)job->n_running));
-            count++;
-        }
     json_t *v = json_pack("{s:s,s:o}", "node", n->settings->node, "jobs", jobs);
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
     return text;
 }
 
+static int by_id(const void *a, const void *b) {
+    return strcmp(((const struct rp_job_status *)a)->id, ((const struct rp_job_status *)b)->id);
+}
+
 static void summary_came(void *arg, const struct rp_answer *answer) {
     struct rp_node *n = arg;
     json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
@@ -260,6 +261,7 @@
         st->done = (uint32_t)json_integer_value(json_array_get(counts, 0));
         st->running = (uint32_t)json_integer_value(json_array_get(counts, 1));
     }
+    qsort(n->summary, n->n_summary, sizeof *n->summary, by_id);
 out:
     json_decref(v);
 }
@@ -309,12 +311,11 @@
             status->done = job->n_done;
             status->running = job->n_running;
         }
-    } else {
-        for (size_t i = 0; i < n->n_summary; i++)
-            if (strcmp(n->summary[i].id, status->id) == 0) {
-                status->done = n->summary[i].done;
-                status->running = n->summary[i].running;
-            }
+    } else if (n->n_summary > 0) {
+        const struct rp_job_status *found =
+            bsearch(status, n->summary, n->n_summary, sizeof *n->summary, by_id);
+        status->done = found ? found->done : 0;
+        status->running = found ? found->running : 0;
     }
     if (status->running)
         status->word = RP_JOB_RUNNING;
@@ -371,7 +372,7 @@
         (json_int_t)n->fleet.n_refused, "returned", (json_int_t)n->fleet.n_returned, "accepted",
         (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "stale_reports",
         (json_int_t)n->workers.n_stale, "over_bounds",
-        (json_int_t)(n->workers.n_over_bounds + n->fleet.n_over_bounds), "latencies",
+        (json_int_t)(n->workers.n_over_bounds + n->round.n_over_bounds), "latencies",
         rp_metrics_json(&n->metrics));
     char *text = json_dumps(v, JSON_COMPACT);
     json_decref(v);
--- a/src/node.h
+++ b/src/node.h
@@ -20,8 +20,6 @@
     RP_NODE_LEADING
 };
 
-#define RP_SUMMARY_MAX 2048
-
 struct rp_node {
     struct rp_loop *loop;
     struct rp_net net;
--- a/src/picture.c
+++ b/src/picture.c
@@ -19,6 +19,7 @@
 static void machine_free(struct rp_machine *m) {
     free(m->places);
     free(m->foreign);
+    free(m->images);
     free(m);
 }
 
@@ -105,6 +106,7 @@
     }
     if (state == RP_MACHINE_LOST) {
         m->lost_since = now;
+        m->lost_session = m->session;
         rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_places);
         rp_machine_session_over(p, m);
     }
@@ -139,8 +141,8 @@
 void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m) {
     while (m->n_places > 0)
         rp_place_drop(p, m, m->n_places - 1);
+    /* What it has fetched stays on its disk: a cut or a hang takes the tasks, not the images. */
     rp_machine_clear_foreign(p, m);
-    m->n_images = 0;
 }
 
 uint64_t rp_picture_attempt(struct rp_picture *p) {
@@ -374,13 +376,12 @@
         }
 }
 
-void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image,
-                           double gb) {
+void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, uint64_t hash, double gb) {
     struct timespec now = rp_loop_now(p->loop);
     double total = gb;
     for (size_t i = 0; i < m->n_images; i++) {
         total += m->images[i].gb;
-        if (strcmp(m->images[i].name, image) == 0) {
+        if (m->images[i].hash == hash) {
             m->images[i].used = now;
             return;
         }
@@ -394,21 +395,20 @@
         total -= m->images[oldest].gb;
         m->images[oldest] = m->images[--m->n_images];
     }
-    struct rp_image *entry = &m->images[m->n_images++];
-    entry->hash = rp_text_hash(image);
-    strncpy(entry->name, image, sizeof entry->name - 1);
-    entry->name[sizeof entry->name - 1] = '\0';
-    entry->gb = gb;
-    entry->used = now;
+    if (m->n_images == m->cap_images) {
+        size_t cap = m->cap_images ? m->cap_images * 2 : 8;
+        struct rp_image *images = realloc(m->images, cap * sizeof *images);
+        if (!images)
+            return; /* the image is fetched once more */
+        m->images = images;
+        m->cap_images = cap;
+    }
+    m->images[m->n_images++] = (struct rp_image){.hash = hash, .gb = gb, .used = now};
 }
 
-bool rp_machine_has_hashed(const struct rp_machine *m, const char *image, uint64_t hash) {
+bool rp_machine_has_image(const struct rp_machine *m, uint64_t hash) {
     for (size_t i = 0; i < m->n_images; i++)
-        if (m->images[i].hash == hash && strcmp(m->images[i].name, image) == 0)
+        if (m->images[i].hash == hash)
             return true;
     return false;
 }
-
-bool rp_machine_has_image(const struct rp_machine *m, const char *image) {
-    return rp_machine_has_hashed(m, image, rp_text_hash(image));
-}
--- a/src/picture.h
+++ b/src/picture.h
@@ -38,7 +38,7 @@
     bool marked; /* scratch of a report's reading */
 };
 
-#define RP_IMAGES_KEPT 32
+#define RP_IMAGES_KEPT 128 /* by 24 bytes; beyond, the one used longest ago is forgotten */
 #define RP_FOREIGN_KEPT 256
 
 /* A task on a machine whose job this leader doesn't know (any more): stopped and forgotten. */
@@ -50,8 +50,7 @@
 };
 
 struct rp_image {
-    uint64_t hash; /* of the name: most comparisons end here */
-    char name[RP_TEXT_MAX];
+    uint64_t hash; /* of the name: a wrong guess costs a fetch, no more */
     double gb;
     struct timespec used;
 };
@@ -75,14 +74,15 @@
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
     struct timespec first_answer, last_answer; /* ours; zero: none yet */
     struct timespec lost_since;
+    uint64_t lost_session; /* the session that it was lost in, 0: none that this leader heard of */
     struct timespec
         deaf_since; /* its reports come, but our answers don't reach it; zero: they do */
     struct rp_place *places;
     size_t n_places, cap_places;
     struct rp_foreign *foreign;
     size_t n_foreign;
-    struct rp_image images[RP_IMAGES_KEPT];
-    size_t n_images;
+    struct rp_image *images;
+    size_t n_images, cap_images;
     unsigned errors_row; /* errors since the last task that ended well */
     bool faulty;
     bool emptied;             /* its work moves elsewhere, then it goes back */
@@ -162,10 +162,8 @@
 void rp_place_stop(struct rp_place *place, double grace_s);
 /* Wants every task of the job stopped, wherever it may be. */
 void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s);
-void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, const char *image,
-                           double gb);
-bool rp_machine_has_image(const struct rp_machine *m, const char *image);
-/* The same, for a name whose hash is at hand. */
-bool rp_machine_has_hashed(const struct rp_machine *m, const char *image, uint64_t hash);
+/* Images are known by the hashes of their names. */
+void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, uint64_t hash, double gb);
+bool rp_machine_has_image(const struct rp_machine *m, uint64_t hash);
 
 #endif
--- a/src/room.c
+++ b/src/room.c
@@ -96,8 +96,8 @@
         const struct rp_job *kept = rp_room_reserved_for(r, m);
         if ((kept && kept != job) || !rp_picture_may_start(r->picture, job, task, m))
             continue;
-        bool has = rp_machine_has_image(m, job->spec.image);
-        if (!best || (has && !rp_machine_has_image(best, job->spec.image)))
+        bool has = rp_machine_has_image(m, job->image_hash);
+        if (!best || (has && !rp_machine_has_image(best, job->image_hash)))
             best = m;
         if (kept == job)
             best = m;
@@ -196,7 +196,7 @@
     double best_price = 0;
     for (struct rp_machine *m = r->picture->first; m; m = m->next) {
         if (!rp_machine_usable(m) || rp_room_reserved_for(r, m) ||
-            (with_image && !rp_machine_has_image(m, job->spec.image)) ||
+            (with_image && !rp_machine_has_image(m, job->image_hash)) ||
             !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot))
             continue;
         double price = stop_price(r, m, job, now);
@@ -224,7 +224,7 @@
         const struct rp_job *job = x->groups[put->group].ref;
         const struct rp_machine *m =
             put->machine < x->in.n_machines ? x->machines[put->machine].ref : NULL;
-        if (!put->now || !m || !may_preempt(job) || rp_machine_has_image(m, job->spec.image))
+        if (!put->now || !m || !may_preempt(job) || rp_machine_has_image(m, job->image_hash))
             continue;
         double rate = rp_round_catalog(r)->types[m->type].fetch_gb_per_s;
         if (rate <= 0 || job->spec.image_gb / rate < HOLDER_WORTH_S)
@@ -292,7 +292,7 @@
         c->stop = true;
         c->free_s = SOON_S;
     }
-    bool has = rp_machine_has_image(m->ref, job->spec.image);
+    bool has = rp_machine_has_image(m->ref, job->image_hash);
     c->start_s =
         c->free_s + (has || m->fetch_gb_per_s <= 0 ? 0 : job->spec.image_gb / m->fetch_gb_per_s);
     return c->free_s < GATHER_MAX_S;
@@ -410,7 +410,7 @@
             o->n_places == 0 ||
             !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
             !rp_resources_fit(&place->job->spec.each, &rooms->free[at]) ||
-            !rp_machine_has_image(o, place->job->spec.image))
+            !rp_machine_has_image(o, place->job->image_hash))
             continue;
         double busy = 0;
         for (size_t k = 0; k < o->n_places; k++)
--- a/src/round.c
+++ b/src/round.c
@@ -92,7 +92,7 @@
         for (size_t i = 0; i < plan->n_fresh; i++)
             n += plan->fresh[i] == k;
         if (n > 0)
-            rp_fleet_rent(r->fleet, kind->type, kind->zone, kind->spot, n > 50 ? 50 : n);
+            rp_fleet_rent(r->fleet, kind->type, kind->zone, kind->spot, n);
     }
 }
 
@@ -128,12 +128,13 @@
     const struct rp_catalog *c = rp_round_catalog(r);
     for (size_t t = 0; t < c->n_types; t++) {
         double total = 0, by[RP_TASK_EXITED + 1] = {0};
-        unsigned up = 0, booting = 0;
+        unsigned up = 0, booting = 0, idle = 0;
         for (const struct rp_machine *m = r->picture->first; m; m = m->next) {
             if (m->type != (int)t)
                 continue;
             up += m->state == RP_MACHINE_UP;
             booting += m->state == RP_MACHINE_BOOTING;
+            idle += m->state == RP_MACHINE_UP && m->n_places == 0;
             total += m->state == RP_MACHINE_UP ? main_of(&c->types[t].capacity) : 0;
             for (size_t i = 0; i < m->n_places; i++)
                 if (m->places[i].state != RP_PLACE_EXITED)
@@ -141,10 +142,11 @@
                                                        ? m->places[i].job->spec.each.gpus
                                                        : m->places[i].job->spec.each.cpus;
         }
-        rp_debug("use %s: up=%u booting=%u capacity=%.0f fetching=%.1f waiting=%.1f running=%.1f "
+        rp_debug("use %s: up=%u idle=%u booting=%u capacity=%.0f fetching=%.1f waiting=%.1f "
+                 "running=%.1f "
                  "saving=%.1f",
-                 c->types[t].name, up, booting, total, by[RP_TASK_FETCHING], by[RP_TASK_WAITING],
-                 by[RP_TASK_RUNNING], by[RP_TASK_SAVING]);
+                 c->types[t].name, up, idle, booting, total, by[RP_TASK_FETCHING],
+                 by[RP_TASK_WAITING], by[RP_TASK_RUNNING], by[RP_TASK_SAVING]);
     }
 }
 
@@ -163,6 +165,7 @@
     if (plan.failed)
         goto out;
     r->wins[winner]++;
+    r->n_looks += plan.n_looks;
     memcpy(r->short_of_room, plan.short_of_room, sizeof r->short_of_room);
     rp_debug("round %lu: jobs=%zu machines=%zu now=%u wait=%u new=%zu left=%.0f cost=%.3f by %s",
              r->n_rounds, x.in.n_groups, x.in.n_machines, plan.n_now, plan.n_wait, plan.n_fresh,
--- a/src/round.h
+++ b/src/round.h
@@ -19,6 +19,8 @@
     size_t n_heuristics;
     unsigned long wins[RP_HEURISTICS_MAX];
     unsigned long n_rounds, n_preempted;
+    unsigned long n_over_bounds; /* rounds that left jobs out */
+    unsigned long n_looks;       /* machines looked at by plans */
     struct timespec last;
     struct rp_resources whole[RP_TYPES_MAX]; /* what its GPU work takes of a type when full */
     bool short_of_room[2];                   /* as the last plan said */
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -3,13 +3,14 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include "log.h"
 #include "room.h"
 
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
 #define LATE_SLACK_S 100  /* time to spare given to a job that has just become late */
-#define BATCH_MAX 512     /* jobs in a round */
+#define BATCH_MAX 8192    /* groups in a round: by far more than can begin in one */
 #define ASKED_MAX 8       /* machines of a kind asked for, beyond which the answer is waited for */
 #define BEGIN_AFTER_S 160 /* a job that has waited so long has its first task started */
 #define OVERDUE 2.2 /* a machine that boots this many times longer than usual isn't waited for */
@@ -62,7 +63,7 @@
     }
     if (place->running.tv_sec == 0) {
         double rate = rp_round_catalog(r)->types[m->type].fetch_gb_per_s;
-        bool has = rp_machine_has_image(m, job->spec.image);
+        bool has = rp_machine_has_image(m, job->image_hash);
         double fetch = has || rate <= 0 ? 0 : job->spec.image_gb / rate;
         return run + fmax(0.5, fetch - rp_ts_since(now, place->since));
     }
@@ -388,6 +389,10 @@
     x->groups = calloc(most, sizeof *x->groups);
     if (!x->groups)
         return;
+    if (r->jobs->n_jobs * 2 >= BATCH_MAX && r->n_over_bounds++ == 0)
+        rp_error(
+            "more than %d groups of tasks wait: the lowest and youngest are left out of rounds",
+            BATCH_MAX);
     /* Higher priorities first, so that a full batch never leaves them out. */
     for (int priority = RP_PRODUCTION; priority >= RP_LOW; priority--)
         for (struct rp_job *job = r->jobs->first; job && x->in.n_groups < most; job = job->next)
--- a/src/settings.c
+++ b/src/settings.c
@@ -161,7 +161,7 @@
     s->cancel_s = need_number(r, workers, "params.workers", "cancel_s", 0, 86400);
     s->state_rps = need_number(r, state, "params.state", "rps", 1, 1e6);
     s->state_write_rps = need_number(r, state, "params.state", "write_rps", 1, 1e6);
-    s->state_value_kb = need_number(r, state, "params.state", "value_kb", 1, 1e6);
+    s->state_value_kb = need_number(r, state, "params.state", "value_kb", 3, 1e6);
     s->state_txn_ops = (size_t)need_number(r, state, "params.state", "txn_ops", 2, 1e6);
     s->cloud_rps = need_number(r, cloud, "params.cloud", "rps", 0.01, 1e6);
     s->list_lag_s = need_number(r, cloud, "params.cloud", "list_lag_s", 0, 3600);
--- a/src/workers.c
+++ b/src/workers.c
@@ -160,7 +160,7 @@
         job->n_running--;
     }
     if (t->state != RP_TASK_FETCHING && place->task_state == RP_TASK_FETCHING)
-        rp_machine_note_image(w->picture, m, job->spec.image, job->spec.image_gb);
+        rp_machine_note_image(w->picture, m, job->image_hash, job->spec.image_gb);
     place->task_state = t->state;
     double ran = place->running.tv_sec ? rp_ts_since(rp_loop_now(w->loop), place->running) : 0;
     if (ran > job->run_floor_s)
@@ -371,8 +371,10 @@
 
 /* A report of a session that is over, held back on its way by a cut: what it lists is gone, and
  * runs elsewhere by now. Only results stay true. */
-static void take_results(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
-    m->seq = r->seq;
+static void take_results(struct rp_workers *w, const struct rp_machine *m,
+                         const struct rp_report *r) {
+    if (r->session < m->session)
+        return;
     for (size_t i = 0; i < r->n_tasks; i++) {
         const struct rp_task_report *t = &r->tasks[i];
         struct rp_job *job = rp_jobs_find(w->jobs, t->job);
@@ -429,11 +431,20 @@
         answer(w, req, NULL, NULL);
         return;
     }
-    if (m->state == RP_MACHINE_LOST && r->session == m->session && r->seq > m->seq) {
+    if (m->state == RP_MACHINE_LOST && m->lost_session > 0 && r->session == m->lost_session) {
         take_results(w, m, r);
         respond(req, 503, rp_wire_error("this session's lease has ended"));
         return;
     }
+    if (m->state == RP_MACHINE_LOST && r->token != w->election->token) {
+        /* It may be of a session that is over, or of the next one, of which nothing can be there.
+         * Once it shows our token it is the next one's. (Taken for a report of the lost session,
+         * the reports of all machines that were cut off during a takeover were refused until they
+         * had gone back.) */
+        take_results(w, m, r);
+        answer(w, req, m, NULL);
+        return;
+    }
     bool old = r->session < m->session || (r->session == m->session && r->seq <= m->seq);
     if (old) {
         /* A copy, late by seconds or by many leases: it proves nothing, and its answer renews no
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -8,9 +8,6 @@
 #include "wire.h"
 
 #define STEP_S 0.02
-#define CANCEL_S 39.0
-#define LEASE_S 14.0
-#define REPORT_S 2.0
 #define GANG_WAIT_S 40.0
 #define GANG_PEER_S 5.0
 #define FORGOTTEN_S                                                                                \
@@ -256,8 +253,11 @@
         return state_lease(s, e->method, e->target + 7, body, out);
     if (strncmp(e->target, "/kv?", 4) == 0) {
         *out = state_list(s, e->target);
+        s->n_state_lists++;
+        s->n_rows_read += json_array_size(json_object_get(*out, "rows"));
         return 200;
     }
+    s->n_state_reads++;
     struct sim_key *k = key_find(s, e->target + 4);
     if (!k) {
         *out = json_pack("{s:I}", "ledger_rev", (json_int_t)s->revision);
@@ -275,7 +275,6 @@
     double cpus, gpus, memory, price, spot_price, boot;
 } sim_types[] = {{"small", 8, 0, 32, 0.36, 0.11, 8}, {"wide", 32, 0, 128, 1.5, 0.45, 12}};
 static const char *const sim_zones[] = {"a", "b"};
-#define SIM_CAPACITY 6 /* machines of a type in a zone, ordinary or spot */
 
 static json_t *cloud_catalog(void) {
     json_t *list = json_array();
@@ -300,12 +299,12 @@
     int type = strcmp(json_string_value(json_object_get(body, "frame")), "small") ? 1 : 0;
     int zone = strcmp(json_string_value(json_object_get(body, "yard")), "a") ? 1 : 0;
     bool spot = json_is_true(json_object_get(body, "loaners"));
-    int left = SIM_CAPACITY, count = (int)json_integer_value(json_object_get(body, "count"));
-    for (int i = 0; i < SIM_WORKERS; i++)
+    int left = s->size.capacity, count = (int)json_integer_value(json_object_get(body, "count"));
+    for (int i = 0; i < s->size.workers; i++)
         left -= s->workers[i].used && s->workers[i].alive && s->workers[i].type == type &&
                 s->workers[i].zone == zone && s->workers[i].spot == spot;
     json_t *names = json_array();
-    for (int i = 0; i < SIM_WORKERS && count > 0 && left > 0; i++) {
+    for (int i = 0; i < s->size.workers && count > 0 && left > 0; i++) {
         struct sim_worker *w = &s->workers[i];
         if (w->used)
             continue;
@@ -328,8 +327,38 @@
     return 200;
 }
 
+static int by_name(const void *a, const void *b) {
+    return strcmp((*(const struct sim_worker *const *)a)->name,
+                  (*(const struct sim_worker *const *)b)->name);
+}
+
+static json_t *cloud_list(const struct sim *s, const char *target) {
+    const struct sim_worker *sorted[SIM_WORKERS];
+    char from[RP_TEXT_MAX];
+    size_t n = 0, most = 500;
+    json_t *list = json_array();
+    bool after = param(target, "from=", from, sizeof from) != NULL;
+    for (int i = 0; i < s->size.workers; i++)
+        if (s->workers[i].used && s->workers[i].rented < s->now - 3 &&
+            (!after || strcmp(s->workers[i].name, from) > 0))
+            sorted[n++] = &s->workers[i];
+    qsort(sorted, n, sizeof sorted[0], by_name);
+    for (size_t i = 0; i < n && i < most; i++) {
+        const struct sim_worker *m = sorted[i];
+        json_array_append_new(list,
+                              json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "ref", m->name, "address",
+                                        m->name, "frame", sim_types[m->type].name, "yard",
+                                        sim_zones[m->zone], "loaners", m->spot, "tension",
+                                        !m->alive ? "failed"
+                                        : m->up   ? "running"
+                                                  : "booting",
+                                        "age_s", s->now - m->rented));
+    }
+    return json_pack("{s:o,s:b}", "sheaves", list, "has_next", n > most);
+}
+
 static int cloud_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
-    json_t *list, *name;
+    json_t *name;
     size_t i;
     if (strcmp(e->target, RP_PATH_TYPES) == 0) {
         *out = cloud_catalog();
@@ -337,7 +366,7 @@
     }
     if (strcmp(e->target, RP_PATH_DELETE) == 0) {
         json_array_foreach(json_object_get(body, "sheaves"), i, name) {
-            for (int w = 0; w < SIM_WORKERS; w++)
+            for (int w = 0; w < s->size.workers; w++)
                 if (s->workers[w].used && strcmp(s->workers[w].name, json_string_value(name)) == 0)
                     s->workers[w].used = s->workers[w].alive = false;
         }
@@ -345,20 +374,7 @@
     }
     if (strcmp(e->method, "POST") == 0)
         return cloud_rent(s, body, out);
-    list = json_array();
-    for (int w = 0; w < SIM_WORKERS; w++) {
-        const struct sim_worker *m = &s->workers[w];
-        if (m->used && m->rented < s->now - 3)
-            json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "ref", m->name,
-                                                  "address", m->name, "frame",
-                                                  sim_types[m->type].name, "yard",
-                                                  sim_zones[m->zone], "loaners", m->spot, "tension",
-                                                  !m->alive ? "failed"
-                                                  : m->up   ? "running"
-                                                            : "booting",
-                                                  "age_s", s->now - m->rented));
-    }
-    *out = json_pack("{s:o,s:b}", "sheaves", list, "has_next", 0);
+    *out = cloud_list(s, e->target);
     return 200;
 }
 
@@ -381,13 +397,13 @@
     double cpus = 0;
     s->n_starts++;
     s->jobs[t->job_index].begun = true;
-    if (job->told_cancelled && s->now > job->cancelled_at + CANCEL_S)
+    if (job->told_cancelled && s->now > job->cancelled_at + s->size.cancel_s)
         broken(s, "ran_cancelled: %s/%u starts", t->job, t->index);
     if (w->spot && !spec->spot)
         broken(s, "wrong_place: %s/%u on a spot machine", t->job, t->index);
     if (*spec->zone && strcmp(spec->zone, sim_zones[w->zone]) != 0)
         broken(s, "wrong_place: %s/%u in zone %s", t->job, t->index, sim_zones[w->zone]);
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
              k++) {
             const struct sim_task *o = &s->workers[i].tasks[k];
@@ -406,10 +422,11 @@
         broken(s, "quota: %.1f CPUs in use", cpus);
 }
 
-static void task_exit(struct sim_worker *w, struct sim_task *t, const char *why) {
+static void task_exit(struct sim_worker *w, struct sim_task *t, const char *why, double now) {
     t->state = RP_TASK_EXITED;
     t->why = why;
     w->changed = true;
+    w->exited_at = now;
 }
 
 static void worker_start(struct sim *s, struct sim_worker *w, const char *job, uint32_t index,
@@ -432,15 +449,20 @@
     }
     if (w->n_tasks == SIM_TASKS || j < 0)
         return;
+    if (w->exited_at > 0) {
+        s->idle_s += s->now - w->exited_at;
+        s->n_idle++;
+        w->exited_at = 0;
+    }
     t = &w->tasks[w->n_tasks++];
     *t = (struct sim_task){.index = index, .attempt = attempt, .job_index = j};
     strcpy(t->job, job);
     w->changed = true;
     if (busy)
-        task_exit(w, t, "in_use");
+        task_exit(w, t, "in_use", s->now);
     else if (cpus + s->jobs[j].spec.each.cpus > sim_types[w->type].cpus + 1e-6 ||
              memory + s->jobs[j].spec.each.memory_gb > sim_types[w->type].memory + 1e-6)
-        task_exit(w, t, "no_room");
+        task_exit(w, t, "no_room", s->now);
     else
         t->ready = s->now + 0.5 + uniform(s);
     if (s->breakage == SIM_LARGE_NEVER_BEGIN && s->jobs[j].spec.n_tasks >= LARGE)
@@ -456,7 +478,7 @@
         t->ready = s->now + spec->save_s;
         w->changed = true;
     } else if (t->state != RP_TASK_SAVING || grace == 0) {
-        task_exit(w, t, "halted");
+        task_exit(w, t, "halted", s->now);
     }
 }
 
@@ -530,7 +552,7 @@
 /* Members of the gang attempt that are in one of the states; `lost` when fewer than all live. */
 static int gang_members(const struct sim *s, const struct sim_task *t, bool ready_only) {
     int n = 0;
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
              k++) {
             const struct sim_task *o = &s->workers[i].tasks[k];
@@ -560,29 +582,29 @@
             t->began = s->now;
             w->changed = true;
         } else if (s->now > t->ready + GANG_WAIT_S) {
-            task_exit(w, t, "alone");
+            task_exit(w, t, "alone", s->now);
         }
         break;
     case RP_TASK_RUNNING:
         if (gang && s->now > t->began + GANG_PEER_S &&
             gang_members(s, t, false) < (int)job->spec.n_tasks) {
-            task_exit(w, t, "peers");
+            task_exit(w, t, "peers", s->now);
         } else if (job->done[t->index] || s->now > t->began + job->spec.estimate_s) {
             if (job->faulty || (!job->done[t->index] && chance(s, s->faults.task_error))) {
-                task_exit(w, t, "error");
+                task_exit(w, t, "error", s->now);
                 break;
             }
             job->done[t->index] = true;
             if (gang)
                 for (uint32_t i = 0; i < job->spec.n_tasks; i++)
                     job->done[i] = true;
-            task_exit(w, t, "done");
+            task_exit(w, t, "done", s->now);
         }
         break;
     case RP_TASK_SAVING:
         if (s->now >= t->ready) {
             t->saved = true;
-            task_exit(w, t, "halted");
+            task_exit(w, t, "halted", s->now);
         }
         break;
     default:
@@ -621,8 +643,8 @@
         e->due = s->now + 5 + 60 * uniform(s);
     bool far = chance(s, s->faults.copies);
     if (far || chance(s, s->faults.repeat)) {
-        struct sim_event *copy =
-            event_new(s, EV_REPORT, far ? 1 + 5 * LEASE_S * uniform(s) : 0.1 + 40 * uniform(s));
+        struct sim_event *copy = event_new(
+            s, EV_REPORT, far ? 1 + 5 * s->size.lease_s * uniform(s) : 0.1 + 40 * uniform(s));
         copy->body = strdup(e->body);
         if (s->breakage == SIM_COPIES_LOOK_NEW)
             make_newer(copy);
@@ -652,7 +674,7 @@
         return;
     }
     /* The lease ends by the worker's clock whether the machine hangs or not. */
-    if (s->now > w->answered_sent + LEASE_S) {
+    if (s->now > w->answered_sent + s->size.lease_s) {
         if (s->breakage != SIM_WORKERS_KEEP_TASKS)
             w->n_tasks = 0;
         w->session++;
@@ -680,7 +702,7 @@
     w->next = s->now + 1;
     json_t *body = json_loads(e->body ? e->body : "{}", 0, NULL);
     if (e->status == 200) {
-        w->next = w->sent + REPORT_S * (0.75 + 0.5 * uniform(s));
+        w->next = w->sent + s->size.report_s * (0.75 + 0.5 * uniform(s));
         if (worker_takes_token(w, body)) {
             w->answered_sent = w->sent;
             worker_commands(s, w, body);
@@ -1012,6 +1034,7 @@
     }
     if (s->now > job->poll_at) {
         job->poll_at = s->now + 2 + 3 * uniform(s);
+        s->n_polls++;
         user_send(s, index, 1);
     }
 }
@@ -1084,7 +1107,7 @@
 static void trouble(struct sim *s) {
     const struct sim_faults *f = &s->faults;
     int node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
-    struct sim_worker *w = &s->workers[gsl_rng_uniform_int(s->rng, SIM_WORKERS)];
+    struct sim_worker *w = &s->workers[gsl_rng_uniform_int(s->rng, (unsigned long)s->size.workers)];
     if (every(s, f->crash_s))
         sim_crash(s, node, chance(s, 0.3) ? 0.1 : 3);
     if (every(s, f->crash_s * 4))
@@ -1132,12 +1155,13 @@
 }
 
 static void check_cancelled(struct sim *s) {
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
              k++) {
             const struct sim_task *t = &s->workers[i].tasks[k];
             const struct sim_job *job = &s->jobs[t->job_index];
-            if (on_machine(t) && job->told_cancelled && s->now > job->cancelled_at + CANCEL_S)
+            if (on_machine(t) && job->told_cancelled &&
+                s->now > job->cancelled_at + s->size.cancel_s)
                 broken(s, "ran_cancelled: %s/%u on %s", t->job, t->index, s->workers[i].name);
         }
 }
@@ -1182,7 +1206,7 @@
     s->outage_until = 0;
     for (int i = 0; i < s->n_nodes; i++)
         s->nodes[i].deaf_until = s->nodes[i].alone_until = 0;
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         s->workers[i].mute_until = 0;
 }
 
@@ -1194,7 +1218,7 @@
         leases_step(s);
         for (int i = 0; i < s->n_nodes; i++)
             node_step(s, i);
-        for (int i = 0; i < SIM_WORKERS; i++)
+        for (int i = 0; i < s->size.workers; i++)
             worker_step(s, i);
         for (int i = 0; i < s->n_jobs; i++)
             user_step(s, i);
@@ -1215,18 +1239,25 @@
     "{\"node_name\":\"n%d\",\"location\":\"a\",\"client_listen\":\"10.0.0.1:1\",\"peer_listen\":"
     "\"10.0.0.1:2\",\"seeds\":[%s],\"external\":{\"cloud\":\"cloud\",\"state\":\"state\"},"
     "\"params\":{\"nodes\":%d,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
-    "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":2,"
-    "\"lease_s\":14,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":39},\"state\":{\"rps\":200,"
-    "\"write_rps\":20,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":5,\"list_lag_s\":3},"
+    "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":%g,"
+    "\"lease_s\":%g,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":%g},\"state\":{\"rps\":%g,"
+    "\"write_rps\":%g,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":%g,\"list_lag_s\":3},"
     "\"machine_limits\":{\"cpu_share\":0.1,\"mem_mb\":64,\"max_connections\":800}}}";
 
 struct sim *sim_new(unsigned long seed, const struct sim_faults *faults, enum sim_breakage breakage,
                     int n_nodes) {
+    static const struct sim_size small = {64, 6, 2, 14, 39, 200, 20, 5};
+    return sim_new_sized(seed, faults, breakage, n_nodes, &small);
+}
+
+struct sim *sim_new_sized(unsigned long seed, const struct sim_faults *faults,
+                          enum sim_breakage breakage, int n_nodes, const struct sim_size *size) {
     struct sim *s = calloc(1, sizeof *s);
     if (!s)
         abort();
     s->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(s->rng, seed);
+    s->size = *size;
     s->n_nodes = n_nodes;
     s->faults = *faults;
     s->breakage = breakage;
@@ -1240,7 +1271,8 @@
                 sprintf(peers + strlen(peers),
                         "%s{\"node_name\":\"n%d\",\"location\":\"a\",\"addr\":\"peer%d\"}",
                         *peers ? "," : "", p, p);
-        if (asprintf(&text, settings_text, i, peers, s->n_nodes) < 0 ||
+        if (asprintf(&text, settings_text, i, peers, s->n_nodes, size->report_s, size->lease_s,
+                     size->cancel_s, size->rps, size->write_rps, size->cloud_rps) < 0 ||
             rp_settings_parse(&s->settings[i], text, "settings", stderr))
             abort();
         free(text);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -9,11 +9,11 @@
 #include "node.h"
 
 #define SIM_NODES_MAX 5
-#define SIM_WORKERS 64
+#define SIM_WORKERS 1400
 #define SIM_TASKS 64 /* on one machine */
-#define SIM_JOBS 64
+#define SIM_JOBS 128
 #define SIM_JOB_TASKS 40
-#define SIM_KEYS 1024
+#define SIM_KEYS 2048
 #define SIM_EVENTS 8192
 #define SIM_LEASES 64
 
@@ -36,6 +36,14 @@
     double blink_s; /* mean time between ends of processes and machines that are back at once */
 };
 
+/* How large the world is, and its time constants. */
+struct sim_size {
+    int workers;  /* machines at one time, at most SIM_WORKERS */
+    int capacity; /* machines of a type in a zone, ordinary or spot */
+    double report_s, lease_s, cancel_s;
+    double rps, write_rps, cloud_rps;
+};
+
 /* Deliberately broken worlds, to show that the checks can fail. */
 enum sim_breakage {
     SIM_SOUND,
@@ -75,6 +83,7 @@
     double sent, next;
     uint64_t flight; /* number of the report in flight */
     bool changed;
+    double exited_at; /* when a task last exited with nothing started since; 0: none */
 };
 
 struct sim_job {
@@ -112,6 +121,7 @@
 
 struct sim {
     gsl_rng *rng;
+    struct sim_size size;
     double now;
     int n_nodes;
     struct sim_faults faults;
@@ -137,11 +147,17 @@
     struct sim_event *events[SIM_EVENTS];
     int n_events;
     char broken[256]; /* the first rule that broke, "" for none */
-    unsigned long n_starts, n_done_jobs, n_changes, n_elections;
+    unsigned long n_starts, n_done_jobs;
+    /* Counted, so that tests can bound what things cost. */
+    unsigned long n_state_reads, n_state_lists, n_rows_read, n_polls;
+    double idle_s; /* between a task's exit and the next start on its machine, summed up */
+    unsigned long n_idle;
 };
 
 struct sim *sim_new(unsigned long seed, const struct sim_faults *faults, enum sim_breakage breakage,
                     int n_nodes);
+struct sim *sim_new_sized(unsigned long seed, const struct sim_faults *faults,
+                          enum sim_breakage breakage, int n_nodes, const struct sim_size *size);
 /* Ends all troubles: from now on every accepted job must be known and begin in time. */
 void sim_calm(struct sim *s);
 /* At the end of a day: notes a broken rule if under half of a class or of its largest jobs has been
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -219,7 +219,7 @@
 
 static struct sim_worker *busiest_worker(struct sim *s) {
     struct sim_worker *best = NULL;
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         if (s->workers[i].used && s->workers[i].up &&
             (!best || s->workers[i].n_tasks > best->n_tasks))
             best = &s->workers[i];
@@ -306,14 +306,14 @@
         sim_submit(s, 1, "sweep", 30, 1, 60, 0);
     sim_run(s, 40);
     int leader = sim_leader(s);
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         sessions[i] = s->workers[i].used && s->workers[i].up ? s->workers[i].session : 0;
     s->nodes[leader].alone_until = s->now + 40;
     sim_run(s, 6);
     assert_false(rp_node_healthy(s->nodes[leader].node));
     sim_run(s, 20);
     assert_true(sim_leader(s) >= 0 && sim_leader(s) != leader);
-    for (int i = 0; i < SIM_WORKERS; i++)
+    for (int i = 0; i < s->size.workers; i++)
         if (sessions[i] && s->workers[i].used) {
             all++;
             kept += s->workers[i].session == sessions[i];
@@ -394,39 +394,178 @@
 }
 
 /* Incident 592a: the machines of a zone that was cut off for 35 s were all given back, the last of
- * them when the first had come back, and rented anew, with a boot and every image to fetch. */
-static void cut_zone_keeps_its_machines(void **state) {
+ * them when the first had come back, and rented anew, with a boot and every image to fetch. And if
+ * the leader changed meanwhile, their reports were taken for those of the lost session, and refused
+ * until they had gone back. */
+static void cut_zone(bool takeover) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(14, &none, SIM_SOUND, 3);
-    int in_zone = 0;
-    (void)state;
+    int in_zone = 0, before = 0;
     for (int i = 0; i < s->n_nodes; i++)
         s->settings[i].teams[0].cpus_max = 1e6;
     for (int i = 0; i < 40; i++)
         sim_submit(s, 1 + i * 2, "sweep", 40, 2, 40, 0);
     sim_run(s, 45);
-    const struct rp_node *n = s->nodes[sim_leader(s)].node;
-    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
-        in_zone += m->zone == 0 && m->state == RP_MACHINE_UP;
-    assert_true(in_zone >= 4);
+    for (int i = 0; i < s->size.workers; i++)
+        before += s->workers[i].used && s->workers[i].up && s->workers[i].zone == 0;
+    assert_true(before >= 4);
     s->cut_zone = 1;
-    sim_run(s, 35);
+    sim_run(s, 5);
+    if (takeover)
+        sim_crash(s, sim_leader(s), 3);
+    sim_run(s, 30);
+    const struct rp_node *n = s->nodes[sim_leader(s)].node;
     assert_true(rp_fleet_zone_out(&n->fleet, 0));
     int lost = 0;
     for (const struct rp_machine *m = n->picture.first; m; m = m->next)
         lost += m->zone == 0 && m->state == RP_MACHINE_LOST;
-    assert_int_equal(lost, in_zone);
+    assert_int_equal(lost, before);
     s->cut_zone = 0;
-    sim_run(s, 12);
+    sim_run(s, 14);
     assert_false(rp_fleet_zone_out(&n->fleet, 0));
     for (const struct rp_machine *m = n->picture.first; m; m = m->next)
-        in_zone -= m->zone == 0 && m->state == RP_MACHINE_UP && m->session > 1;
-    assert_int_equal(in_zone, 0);
+        in_zone += m->zone == 0 && m->state == RP_MACHINE_UP && m->session > 1;
+    assert_int_equal(in_zone, before);
     sim_run(s, 200);
     assert_string_equal(s->broken, "");
     sim_free(s);
 }
 
+static void cut_zone_keeps_its_machines(void **state) {
+    (void)state;
+    cut_zone(false);
+    cut_zone(true);
+}
+
+/* ---- some 1,300 machines ---- */
+
+static const struct sim_size large = {1400, 163, 4, 22, 47, 800, 80, 10};
+
+static int machines_in(const struct sim *s, enum rp_machine_state state) {
+    int n = 0;
+    const struct rp_node *node = s->nodes[sim_leader(s)].node;
+    for (const struct rp_machine *m = node->picture.first; m; m = m->next)
+        n += m->state == state;
+    return n;
+}
+
+/* A world in which 1,304 machines are up and busy. */
+static struct sim *large_fleet(unsigned long seed, double run_s) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new_sized(seed, &none, SIM_SOUND, 5, &large);
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 120; i++)
+        sim_submit(s, 1 + i * 0.05, "sweep", 40, 8, run_s, 0);
+    sim_run(s, 45);
+    assert_string_equal(s->broken, "");
+    assert_true(machines_in(s, RP_MACHINE_UP) >= 1290);
+    return s;
+}
+
+static int kept_sessions(const struct sim *s) {
+    int n = 0;
+    for (int i = 0; i < s->size.workers; i++)
+        n += s->workers[i].used && s->workers[i].up && s->workers[i].session == 1;
+    return n;
+}
+
+/* Reports 4 s apart made every second machine pass for one that gets no answers, and what a report
+ * freed was started with the next one, 4 s later: here both show as time without work. And what
+ * users' questions cost: one read a question about a job that is open. */
+static void large_fleet_is_used(void **state) {
+    (void)state;
+    struct sim *s = large_fleet(31, 10);
+    const struct rp_node *n = s->nodes[sim_leader(s)].node;
+    unsigned long reads = s->n_state_reads, polls = s->n_polls, looks = n->round.n_looks;
+    unsigned long rounds = n->round.n_rounds;
+    sim_run(s, 8);
+    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+        assert_false(rp_machine_deaf(m));
+    assert_true(s->n_idle >= 500);
+    /* A task's exit is reported after up to 0.5 s and what follows it starts with the answer. */
+    assert_true(s->idle_s / (double)s->n_idle < 1.5);
+    assert_true(s->n_polls > polls);
+    /* Two for a job that is over; and each node's look at the leader's key, twice a second. */
+    assert_true(s->n_state_reads - reads <= 2 * (s->n_polls - polls) + 5 * 2 * 8 + 10);
+    /* Each heuristic may look at each machine a few times, not once for every group. */
+    rounds = n->round.n_rounds - rounds;
+    assert_true(rounds > 0);
+    assert_true((n->round.n_looks - looks) / rounds < 6 * 1304);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
+/* The leader's process ends: its workers all come to the next one, which reads every record once.
+ * No machine's lease may end, nothing be rented or given back for it. */
+static void large_fleet_takeover(void **state) {
+    (void)state;
+    struct sim *s = large_fleet(32, 150);
+    int leader = sim_leader(s), sessions = kept_sessions(s), rented = s->next_machine;
+    int before = machines_in(s, RP_MACHINE_UP);
+    unsigned long lists = s->n_state_lists, rows = s->n_rows_read;
+    sim_crash(s, leader, 0.2); /* back within a split second */
+    sim_run(s, 8);
+    assert_true(sim_leader(s) >= 0);
+    const struct rp_node *n = s->nodes[sim_leader(s)].node;
+    unsigned long records = n->jobs.n_jobs;
+    for (const struct rp_rental *r = n->fleet.rentals; r; r = r->next)
+        records++;
+    assert_true(s->n_state_lists - lists <= 3); /* jobs, progress, rentals: a page each */
+    assert_true(s->n_rows_read - rows <= 2 * records);
+    sim_run(s, 6);
+    assert_true(rp_picture_settled(&s->nodes[sim_leader(s)].node->picture));
+    assert_int_equal(kept_sessions(s), sessions);
+    assert_true(machines_in(s, RP_MACHINE_UP) >= before - 5);
+    assert_true(s->next_machine <= rented + 20);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
+/* The leader stands still for longer than its lease while its clocks run on, then goes on with
+ * hundreds of reports waiting: another leads by then, and answers them all. */
+static void large_fleet_frozen_leader(void **state) {
+    (void)state;
+    struct sim *s = large_fleet(33, 150);
+    int leader = sim_leader(s), sessions = kept_sessions(s), rented = s->next_machine;
+    s->nodes[leader].stalled_until = s->now + 24;
+    sim_run(s, 23);
+    assert_true(sim_leader(s) >= 0);
+    sim_run(s, 9);
+    assert_int_equal(s->nodes[leader].node->at, RP_NODE_FOLLOWING);
+    assert_true(kept_sessions(s) >= sessions - sessions / 20);
+    assert_true(s->next_machine <= rented + 20);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
+/* 150 machines hang for longer than their lease, 60 die: what hangs is waited for, what has died is
+ * replaced, and no more. Before, whatever was silent for 16 s beyond its lease went back. */
+static void large_fleet_mass_loss(void **state) {
+    (void)state;
+    struct sim *s = large_fleet(34, 150);
+    int rented = s->next_machine, hung = 0, kept = 0;
+    for (int i = 0; i < s->size.workers; i++) {
+        struct sim_worker *w = &s->workers[i];
+        if (!w->used || !w->up)
+            continue;
+        if (i % 21 == 0)
+            w->alive = false;
+        else if (i % 9 == 0)
+            w->hung_until = s->now + 42;
+        hung += w->alive && i % 9 == 0;
+    }
+    assert_true(hung >= 100);
+    sim_run(s, 50);
+    for (int i = 0; i < s->size.workers; i++)
+        kept += s->workers[i].used && s->workers[i].hung_until > 0;
+    assert_true(kept >= hung - hung / 20);
+    assert_true(s->next_machine - rented <= 90);
+    assert_true(machines_in(s, RP_MACHINE_LOST) <= 5);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* The checks can fail: each broken world must be caught on some day. */
 static void catches(enum sim_breakage breakage, const struct sim_faults *faults, const char *rule) {
     for (unsigned long seed = 900; seed < 930; seed++) {
@@ -482,6 +621,10 @@
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
                                        cmocka_unit_test(cut_zone_keeps_its_machines),
+                                       cmocka_unit_test(large_fleet_is_used),
+                                       cmocka_unit_test(large_fleet_takeover),
+                                       cmocka_unit_test(large_fleet_frozen_leader),
+                                       cmocka_unit_test(large_fleet_mass_loss),
                                        cmocka_unit_test(broken_worlds_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     if (argc > 1)
