--- a/src/plan.c
+++ b/src/plan.c
@@ -748,7 +748,9 @@
 }
 
 /* What the GPU work on a machine leaves of its CPUs costs nothing more: work that has no use for
- * the GPUs may take that, where it is over before the machine's own work. */
+ * the GPUs may take that, where it is over before the machine's own work. (Measured by all work on
+ * the machine, such work drew more of its like after it, and kept a third of the GPU machines for
+ * minutes after the last GPU task had ended.) */
 static void try_spare(struct run *r, struct placing *pl) {
     const struct rp_plan_group *g = pl->g;
     const struct listing *l = &r->listings[r->spare_listing[pl->index]];
@@ -762,7 +764,7 @@
             bool has = g->has_image && g->has_image[at];
             if (has != (with_image == 1) || !(g->spare_types >> m->type & 1) ||
                 !(g->zones >> m->zone & 1) || (m->spot && !g->spot) || m->kept ||
-                m->busy_s < SPARE_SHARE * (g->run_s + fetch_s(g, m->fetch_gb_per_s, has)))
+                m->own_busy_s < SPARE_SHARE * (g->run_s + fetch_s(g, m->fetch_gb_per_s, has)))
                 continue;
             uint32_t most = fits(&g->each, &r->slots[at].spare, zone_room(pl, m->zone));
             most = fits(&g->each, &r->slots[at].room, most);
--- a/src/plan.h
+++ b/src/plan.h
@@ -68,6 +68,7 @@
     double age_s;              /* since its rental */
     double work_s;             /* its tasks' remaining time, weighed by their part of it */
     double busy_s;             /* until its last task's estimated end */
+    double own_busy_s; /* the same of its own kind of work alone, not of what takes spare room */
     double first_arrival_s, last_arrival_s, mean_arrival_s; /* ages of its tasks */
 };
 
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -92,6 +92,8 @@
         double left = rp_place_left_s(r, m, place, now);
         double age = rp_ts_since(now, place->since);
         out->busy_s = fmax(out->busy_s, left);
+        if (place->job->spec.each.gpus > 0)
+            out->own_busy_s = fmax(out->own_busy_s, left);
         out->first_arrival_s = fmax(out->first_arrival_s, age);
         out->last_arrival_s = sum == 0 ? age : fmin(out->last_arrival_s, age);
         sum += age;
