Small work goes first by the size of the fleet, more is given up, gangs keep their place

The weight now grows with the machines, and is not put on gangs, which are never given up and stood behind all arrays; giving up begins at 0.9 times what can be done.

--- a/src/plan.c
+++ b/src/plan.c
@@ -15,11 +15,14 @@
 #define ESW_LONG 0.75 /* of its run time that a job is drawn forward */
 /* Work is given up beyond so many times what can be done in time: estimates are rough, and the
  * rougher the fewer machines they are spread over. */
-#define GIVE_UP_AT 1.5
+#define GIVE_UP_AT 0.9
 #define GIVE_UP_FEW 30.0
 #define SPARE_SHARE 0.7 /* of a task's time that a machine must be in use for anyway */
-#define ESW_SHORT 5.0   /* how much more it weighs when not all jobs can be in time */
-#define ESW_WEIGHT 6.0  /* seconds of slack that a second of the whole fleet's work weighs */
+/* How much more it weighs when not all jobs can be in time, and for each 100 machines as much
+ * again: with the fleet grows the number of jobs that wait, and each is a smaller part of it. */
+#define ESW_SHORT 5.0
+#define ESW_SHORT_FLEET 100.0
+#define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
                                         "STJF", "EDF", "SRW", "ESW"};
@@ -148,7 +151,7 @@
 }
 
 static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place,
-                        const struct rp_resources *fleet, bool short_of_room) {
+                        const struct rp_resources *fleet, double weight) {
     double size = g->each.cpus + 8 * g->each.gpus + g->each.memory_gb / 8;
     switch (order) {
     case RP_FCFS:
@@ -169,8 +172,7 @@
         return size * g->n * g->run_s;
     case RP_ESW:
         return g->slack_s - ESW_LONG * g->run_s +
-               ESW_WEIGHT * (short_of_room ? ESW_SHORT : 1) * g->n * g->run_s *
-                   fleet_share(&g->each, fleet);
+               weight * g->n * g->run_s * fleet_share(&g->each, fleet);
     }
     return 0;
 }
@@ -352,11 +354,15 @@
     struct rp_resources fleet = {0};
     for (size_t i = 0; i < r->in->n_machines; i++)
         take(&fleet, &r->in->machines[i].capacity, -1);
+    double short_weight =
+        ESW_WEIGHT * ESW_SHORT * fmax(1, (double)r->in->n_machines / ESW_SHORT_FLEET);
     if (order == RP_ESW)
         give_up_all(r);
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
-        double key = group_key(g, order, i, &fleet, r->plan->short_of_room[on_gpus(g)]);
+        /* Gangs are never given up: behind all smaller arrays they would wait too long. */
+        bool small_first = g->kind != RP_GANG && r->plan->short_of_room[on_gpus(g)];
+        double key = group_key(g, order, i, &fleet, small_first ? short_weight : ESW_WEIGHT);
         if (order == RP_ESW)
             key += ESW_FETCH * fetch_ahead_s(r, i) - (g->spot ? 0 : ESW_FEW);
         r->sorted[i] = (struct sorted){.item = i, .rank = group_rank(r, i), .key = key};
