--- a/src/room.c
+++ b/src/room.c
@@ -11,12 +11,15 @@
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
 #define EMPTIED_OF 40     /* one machine, and one more of so many, may be emptied at a time */
 #define GATHER_MAX_S 60   /* a machine that isn't free by then isn't kept for a gang */
+#define ONES_OF 8         /* of so many machines one may be kept for a gang of one task */
+#define GATHER_ONE_S 45   /* a gang of one task has waited for so long before one is kept for it */
 #define GATHER_SLACK_S 6  /* run times are estimates */
 #define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 
+/* A gang of one task that has room made for it by priority doesn't need it kept. */
 bool rp_room_whole(const struct rp_job *job) {
-    return job->spec.kind == RP_GANG && job->spec.n_tasks > 1;
+    return job->spec.kind == RP_GANG && (job->spec.n_tasks > 1 || job->spec.priority < RP_HIGH);
 }
 
 static void reserve(const struct rp_round *r, struct rp_machine *m, const struct rp_job *job,
@@ -282,7 +285,7 @@
                           const struct rp_plan_machine *m, struct candidate *c,
                           struct timespec now) {
     *c = (struct candidate){.machine = m->ref};
-    if (!m->ref || m->kept || !rp_machine_usable(m->ref) ||
+    if (!m->ref || m->kept || !rp_machine_usable(m->ref) || rp_room_reserved_for(r, m->ref) ||
         !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot) ||
         rp_plan_part(&job->spec.each, &m->capacity) <= 0.5)
         return false;
@@ -352,31 +355,62 @@
     return puts > 0 && (all_now || fresh);
 }
 
-/* Plans place a gang whole or not at all, and what falls free meanwhile is taken by work that needs
- * less: on a full fleet a gang of several whole machines would never find them free together. The
- * machines that can be free soonest are kept for one gang at a time; all of them at once, so that
- * no two gangs hold a part each of what both need, and for a bounded time. */
-void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
-                    struct timespec now) {
-    struct candidate *list = NULL;
+/* A task that takes a whole machine mostly finds one soon. Where it doesn't, on few machines that
+ * smaller work of its priority keeps full, it waited for ever (incident f8f1). It needs no more
+ * than one machine, so several such gangs can have one kept at the same time. */
+static void gather_ones(struct rp_round *r, const struct rp_round_input *x,
+                        const struct rp_plan *plan, struct candidate *list, struct timespec now) {
+    size_t kept = 0, most = 1 + x->in.n_machines / ONES_OF;
+    for (size_t g = 0; g < x->in.n_groups; g++) {
+        const struct rp_job *job = x->groups[g].ref;
+        kept += rp_room_whole(job) && job->spec.n_tasks == 1 && x->groups[g].held;
+    }
+    for (size_t g = 0; g < x->in.n_groups && kept < most; g++) {
+        const struct rp_plan_group *group = &x->groups[g];
+        struct rp_job *job = group->ref;
+        if (!rp_room_whole(job) || job->spec.n_tasks != 1 || group->held ||
+            group->age_s < GATHER_ONE_S || gang_served(x, plan, g) ||
+            !rp_picture_job_settled(r->picture, job) || !soonest(r, x, job, list, now))
+            continue;
+        gather_for(r, job, list);
+        kept++;
+    }
+}
+
+/* The gang of several tasks that waits longest, of the highest priority, for machines that no plan
+ * has for it; n_groups: there is none, or machines are being kept for one. */
+static size_t gang_to_gather(struct rp_round *r, const struct rp_round_input *x,
+                             const struct rp_plan *plan) {
     size_t chosen = x->in.n_groups;
     for (size_t g = 0; g < x->in.n_groups; g++) {
         const struct rp_plan_group *group = &x->groups[g];
-        if (!rp_room_whole(group->ref))
+        const struct rp_job *job = group->ref;
+        if (!rp_room_whole(job) || job->spec.n_tasks == 1)
             continue;
         if (group->held)
-            return; /* one at a time */
+            return x->in.n_groups; /* one at a time */
         bool before = chosen == x->in.n_groups || group->priority > x->groups[chosen].priority ||
                       (group->priority == x->groups[chosen].priority &&
                        group->age_s > x->groups[chosen].age_s);
-        if (before && rp_picture_job_settled(r->picture, group->ref) && !gang_served(x, plan, g))
+        if (before && rp_picture_job_settled(r->picture, job) && !gang_served(x, plan, g))
             chosen = g;
     }
-    if (chosen == x->in.n_groups)
+    return chosen;
+}
+
+/* Plans place a gang whole or not at all, and what falls free meanwhile is taken by work that needs
+ * less: on a full fleet a gang of several whole machines would never find them free together. The
+ * machines that can be free soonest are kept for one gang at a time; all of them at once, so that
+ * no two gangs hold a part each of what both need, and for a bounded time. */
+void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
+                    struct timespec now) {
+    struct candidate *list = calloc(x->in.n_machines + 1, sizeof *list);
+    size_t chosen = gang_to_gather(r, x, plan);
+    if (!list)
         return;
-    list = calloc(x->in.n_machines + 1, sizeof *list);
-    if (list && soonest(r, x, x->groups[chosen].ref, list, now))
+    if (chosen < x->in.n_groups && soonest(r, x, x->groups[chosen].ref, list, now))
         gather_for(r, x->groups[chosen].ref, list);
+    gather_ones(r, x, plan, list, now);
     free(list);
 }
 
--- a/src/room.h
+++ b/src/room.h
@@ -9,7 +9,7 @@
 struct rp_job *rp_room_reserved_for(const struct rp_round *r, const struct rp_machine *m);
 /* Marks the jobs that room is kept for with this round's number. */
 void rp_room_mark_held(const struct rp_round *r);
-/* A gang of several tasks: machines are kept for it whole. */
+/* Machines are kept whole for it. */
 bool rp_room_whole(const struct rp_job *job);
 void rp_room_mend_gangs(struct rp_round *r, struct timespec now);
 void rp_room_prefer_holders(struct rp_round *r, const struct rp_round_input *x,
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1044,11 +1044,12 @@
     struct sim_job *job = &s->jobs[s->n_jobs];
     char id[32], why[128];
     snprintf(id, sizeof id, "j-%06d", s->n_jobs);
-    bool gang = strcmp(kind, "ensemble") == 0;
+    bool gang = strncmp(kind, "ensemble", strlen("ensemble")) == 0;
+    bool low = !gang || strcmp(kind, "ensemble:low") == 0;
     json_t *v = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
-        id, "rig", gang ? "g" : "a", "crew", "t", "haul", kind, "precedence",
-        gang ? "urgent" : "low", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0,
+        id, "rig", gang ? "g" : "a", "crew", "t", "haul", gang ? "ensemble" : kind, "precedence",
+        low ? "low" : "urgent", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0,
         "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
         "loaners", true, "run_guess_s", run_s, "brace_every_s", 5.0, "brace_s", 1.0, "due_s");
     if (!v || !rp_wire_spec_read(v, &job->spec, why))
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -166,7 +166,7 @@
 void sim_free(struct sim *s);
 /* Lets the world go on; stops early when a rule breaks. */
 void sim_run(struct sim *s, double seconds);
-/* Submits a job at a time; returns its index. */
+/* Submits a job at a time; returns its index. Gangs are urgent, but for "ensemble:low". */
 int sim_submit(struct sim *s, double at, const char *kind, unsigned tasks, double cpus,
                double run_s, double cancel_at);
 bool sim_all_over(const struct sim *s);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -363,6 +363,27 @@
     sim_free(s);
 }
 
+/* Incident f8f1: gangs of one task that takes a whole machine waited for seven minutes behind small
+ * work of their own priority, which took each place that fell free. */
+static void whole_machine_task_begins_on_a_full_fleet(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(15, &none, SIM_SOUND, 3);
+    int gangs[3];
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 90; i++)
+        sim_submit(s, 1 + i * 2, "sweep", 40, 2, 20, 0);
+    sim_run(s, 40);
+    for (int i = 0; i < 3; i++)
+        gangs[i] = sim_submit(s, s->now, "ensemble:low", 1, 24, 20, 0);
+    sim_run(s, 100);
+    for (int i = 0; i < 3; i++)
+        assert_true(s->jobs[gangs[i]].begun);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* A cut that held packets back delivered reports of sessions that had ended: their tasks, which ran
  * elsewhere by then, were taken to be on the old machines as well. */
 static void held_reports_bring_nothing_back(void **state) {
@@ -619,6 +640,7 @@
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
+                                       cmocka_unit_test(whole_machine_task_begins_on_a_full_fleet),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
                                        cmocka_unit_test(cut_zone_keeps_its_machines),
                                        cmocka_unit_test(large_fleet_is_used),
