--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -370,8 +370,16 @@
     struct sim *s = sim_new(15, &none, SIM_SOUND, 3);
     int gangs[3];
     (void)state;
-    for (int i = 0; i < s->n_nodes; i++)
-        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < s->n_nodes; i++) {
+        struct rp_settings *settings = &s->settings[i];
+        settings->teams[0].cpus_max = 1e6;
+        settings->objectives = calloc(1, sizeof *settings->objectives);
+        assert_non_null(settings->objectives);
+        settings->n_objectives = 1;
+        /* So the arrays come first in every order. */
+        settings->objectives[0] = (struct rp_objective){.kind = RP_AIM_FINISHED, .within_s = 90};
+        strcpy(settings->objectives[0].class_name, "a");
+    }
     for (int i = 0; i < 90; i++)
         sim_submit(s, 1 + i * 2, "sweep", 40, 2, 20, 0);
     sim_run(s, 40);
