--- a/src/api.c
+++ b/src/api.c
@@ -13,9 +13,10 @@
 
 /* Where a user's request stands. */
 enum op_state {
-    OP_READ_OPEN, /* is the job open? */
-    OP_READ_OVER, /* or over? */
-    OP_WRITE,     /* the submission's or the cancellation's transaction */
+    OP_READ_OPEN,   /* is the job open? */
+    OP_READ_OVER,   /* or over? */
+    OP_READ_FORMAT, /* does every node know services by now? */
+    OP_WRITE,       /* the submission's or the cancellation's transaction */
     OP_ANSWERED
 };
 
@@ -30,6 +31,7 @@
     char why[128];
     uint64_t version;
     unsigned tries;
+    size_t value_most; /* bytes of a value, once the service has refused more; 0: as told */
     struct timespec since;
 };
 
@@ -99,6 +101,28 @@
     }
 }
 
+/* What a value may have: until every node knows better, today's limit. */
+static size_t value_limit(const struct op *op) {
+    const struct rp_settings *s = op->node->settings;
+    bool fit = rp_upgrade_active(&op->node->upgrade);
+    return (size_t)((fit ? s->state_fit : s->state).value_kb * 1024);
+}
+
+/* A node of the version before would run a service like an array, and call it done: it is accepted
+ * only once there is none left. */
+static void format_read(void *arg, const struct rp_state_result *r) {
+    struct op *op = arg;
+    struct rp_item item;
+    if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item))
+        rp_upgrade_read(&op->node->upgrade, item.value);
+    if (rp_upgrade_active(&op->node->upgrade)) {
+        op_next(op, OP_WRITE);
+        return;
+    }
+    op->refusal = 503;
+    op_next(op, OP_READ_OPEN);
+}
+
 static void written(void *arg, const struct rp_state_result *r) {
     struct op *op = arg;
     if (r->outcome == RP_STATE_OK) {
@@ -115,27 +139,64 @@
     /* A conflict: the job is known, or has changed meanwhile. No answer: only a look tells
      * whether the write was carried out; if it was not, it still may be, and writing again is
      * harmless since both carry the same conditions. */
+    if (r->outcome == RP_STATE_BAD && op->kind == OP_SUBMIT && ++op->tries < TRIES) {
+        op->value_most = (op->value_most ? op->value_most : value_limit(op)) / 2;
+        op_next(op, OP_WRITE);
+        return;
+    }
     if ((r->outcome == RP_STATE_CONFLICT || r->outcome == RP_STATE_UNKNOWN) && ++op->tries < TRIES)
         op_next(op, OP_READ_OPEN);
     else
         op_unavailable(op);
 }
 
-/* A description that the state service can't keep can't be accepted, however often it comes. */
-static bool storable(const struct op *op, json_t *record) {
-    size_t most = (size_t)(op->node->settings->state_value_kb * 1024);
-    return json_dumpb(record, NULL, 0, JSON_COMPACT) <= most;
+/* The allowed types without repetitions, and without those that no machine is of: the job means
+ * the same, and its record is much shorter where somebody lists a thousand. */
+static void forget_useless_types(const struct rp_catalog *c, struct rp_job_spec *spec) {
+    size_t kept = 0;
+    for (size_t i = 0; i < spec->n_types; i++) {
+        bool known = false, again = false;
+        for (size_t t = 0; t < c->n_types; t++)
+            known |= strcmp(c->types[t].name, spec->types[i]) == 0;
+        for (size_t k = 0; k < kept; k++)
+            again |= strcmp(spec->types[k], spec->types[i]) == 0;
+        if (known && !again && kept++ != i)
+            memcpy(spec->types[kept - 1], spec->types[i], sizeof spec->types[i]);
+    }
+    spec->n_types = kept;
 }
 
-static void write_submission(struct op *op) {
+/* The pieces in which the job's record is written: one mostly. 0: no transaction can hold it. */
+static size_t submission_pieces(struct op *op, json_t **pieces, size_t max) {
+    struct rp_node *n = op->node;
+    size_t most = op->value_most ? op->value_most : value_limit(op);
     struct timespec wall;
-    char open[RP_KEY_MAX], over[RP_KEY_MAX];
     clock_gettime(CLOCK_REALTIME, &wall);
-    json_t *record = rp_record_open(&op->spec, wall);
-    if (!storable(op, record)) {
-        json_decref(record);
+    pieces[0] = rp_jobs_mark(&n->jobs, rp_record_open(&op->spec, wall));
+    if (rp_record_size(pieces[0]) <= most)
+        return 1;
+    json_decref(pieces[0]);
+    forget_useless_types(&n->catalog, &op->spec);
+    json_t *record = rp_jobs_mark(&n->jobs, rp_record_open(&op->spec, wall));
+    if (rp_record_size(record) <= most) {
+        pieces[0] = record;
+        return 1;
+    }
+    size_t count = rp_upgrade_active(&n->upgrade) ? rp_record_cut(record, most, pieces, max) : 0;
+    json_decref(record);
+    return count;
+}
+
+/* What is too long for one value is written in parts, all in one transaction: so the job is there
+ * whole or not at all. Before the activation nobody reads parts, and the user has to come again. */
+static void write_submission(struct op *op) {
+    char open[RP_KEY_MAX], over[RP_KEY_MAX], part[RP_KEY_MAX];
+    json_t *pieces[RP_PARTS_MAX];
+    size_t max = op->node->settings->state_fit.txn_ops;
+    size_t count = submission_pieces(op, pieces, max < RP_PARTS_MAX ? max : RP_PARTS_MAX);
+    if (count == 0) {
         strcpy(op->why, "the description is longer than the state service can keep");
-        op->refusal = 422;
+        op->refusal = rp_upgrade_active(&op->node->upgrade) ? 422 : 503;
         op_next(op, OP_READ_OPEN);
         return;
     }
@@ -144,7 +205,11 @@
     rp_key(over, RP_KEY_OVER, op->id);
     rp_wire_txn_if(txn, open, 0);
     rp_wire_txn_if(txn, over, 0);
-    rp_wire_txn_put(txn, open, record, 0);
+    rp_wire_txn_put(txn, open, pieces[0], 0);
+    for (size_t i = 1; i < count; i++) {
+        rp_key_part(part, op->id, (unsigned)i);
+        rp_wire_txn_put(txn, part, pieces[i], 0);
+    }
     rp_state_txn(&op->node->state, RP_SHARE_SUBMISSIONS, txn, written, op);
 }
 
@@ -155,7 +220,7 @@
     rp_key(over, RP_KEY_OVER, op->id);
     rp_wire_txn_if(txn, open, op->version);
     rp_wire_txn_delete(txn, open);
-    rp_wire_txn_put(txn, over, rp_record_over(RP_JOB_CANCELLED), 0);
+    rp_wire_txn_put(txn, over, rp_jobs_mark(&op->node->jobs, rp_record_over(RP_JOB_CANCELLED)), 0);
     rp_state_txn(&op->node->state, RP_SHARE_SUBMISSIONS, txn, written, op);
 }
 
@@ -176,6 +241,9 @@
         rp_key(key, RP_KEY_OVER, op->id);
         rp_state_get(&op->node->state, op_share(op), key, over_read, op);
         break;
+    case OP_READ_FORMAT:
+        rp_state_get(&op->node->state, op_share(op), RP_KEY_FORMAT, format_read, op);
+        break;
     case OP_WRITE:
         if (op->kind == OP_SUBMIT)
             write_submission(op);
@@ -204,7 +272,7 @@
 static int judge(const struct rp_node *n, const struct rp_job_spec *spec, char why[128]) {
     int index = rp_settings_team(n->settings, spec->team);
     bool fits = false;
-    double tasks = spec->kind == RP_GANG ? spec->n_tasks : 1;
+    double tasks = spec->kind == RP_ARRAY ? 1 : spec->n_tasks;
     if (index < 0) {
         strcpy(why, "unknown team");
         return 422;
@@ -244,7 +312,10 @@
     else
         op->refusal = judge(n, &op->spec, op->why);
     /* A known job is answered before anything is found wrong with the rest of the request. */
-    op_next(op, op->refusal ? OP_READ_OPEN : OP_WRITE);
+    bool service = !op->refusal && op->spec.kind == RP_SERVICE;
+    op_next(op, op->refusal                                  ? OP_READ_OPEN
+                : service && !rp_upgrade_active(&n->upgrade) ? OP_READ_FORMAT
+                                                             : OP_WRITE);
 }
 
 void rp_api_query(struct rp_node *n, struct rp_request *req, const char *id) {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -13,9 +13,10 @@
 #define LOAD_PAGE 1000
 #define DELETE_MAX 100
 #define RENT_MAX 50     /* machines in a request (PROTOCOL) */
-#define RECORD_HEAD 512 /* bytes of a rental's record besides its machines' names */
-#define RECORD_NAME 32  /* a machine's name in it */
+#define RECORD_HEAD 320 /* bytes of a rental's record besides its machines' names */
+#define RECORD_NAME 16  /* a machine's name in it, as a rule; what is longer is split */
 #define NAMES_MAX 64    /* machines of a rental: at most 50 are asked for at once */
+#define VALUE_LEAST 256 /* bytes of a record that no limit is expected to refuse */
 #define NEWS_MAX_S 9.0
 #define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
@@ -79,6 +80,7 @@
     f->jobs = jobs;
     f->settings = settings;
     f->catalog = catalog;
+    f->value_most = (size_t)(settings->state_fit.value_kb * 1024);
     f->timer = (struct rp_timer){.fn = tick, .arg = f};
 }
 
@@ -205,6 +207,13 @@
         rental_later(f, rental, 1);
         return;
     }
+    if (result->outcome == RP_STATE_BAD && f->value_most > VALUE_LEAST) {
+        /* Larger than the limits told: smaller pieces, at a slower pace. */
+        f->value_most = f->value_most * 3 / 4;
+        rental->changed = true;
+        rental_later(f, rental, 1);
+        return;
+    }
     if (result->outcome != RP_STATE_OK) {
         /* Each write carries the version that it replaces, so that a copy which arrives late can't
          * take names away again. After a lost answer, or a conflict with a write whose answer was
@@ -252,7 +261,57 @@
     rental_step(f, rental);
 }
 
+/* The record as it stands; with a request, the names that it says are up are noted there. */
+static json_t *rental_record(struct rp_fleet *f, const struct rp_rental *rental,
+                             struct request *r) {
+    const char *names[NAMES_MAX];
+    bool up[NAMES_MAX];
+    size_t n = 0;
+    for (struct rp_machine *m = f->picture->first; m && n < NAMES_MAX; m = m->next)
+        if (m->rental == rental) {
+            names[n] = m->name;
+            up[n] = m->up_recorded || m->session > 0;
+            if (r)
+                strcpy(r->names[n], up[n] ? m->name : "");
+            n++;
+        }
+    if (r)
+        r->n = n;
+    return rp_jobs_mark(f->jobs, rp_record_rental(&rental->record, names, up, n));
+}
+
+/* A record that names more machines than a value may hold (the version before wrote up to 50, and
+ * the limit came down) is split: a new one takes over the second half of the names and is written
+ * first, then the old one without them. Whoever reads both in between takes the first that names a
+ * machine. */
+static bool rental_split(struct rp_fleet *f, struct rp_rental *rental) {
+    json_t *v = rental_record(f, rental, NULL);
+    size_t size = rp_record_size(v), n = rp_record_rental_names(v), k = 0;
+    char name[RP_TEXT_MAX];
+    json_decref(v);
+    if (size <= f->value_most || n < 2 || !rental->record.answered)
+        return false;
+    snprintf(name, sizeof name, "s-%llu-%lu", (unsigned long long)f->election->token,
+             ++f->next_name);
+    struct rp_rental *second = rental_add(f, name);
+    second->record = rental->record;
+    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+        if (m->rental == rental && k++ >= n / 2)
+            m->rental = second;
+    second->record.count = (unsigned)(n - n / 2);
+    rental->record.count = (unsigned)(n / 2);
+    strcpy(rental->after, name);
+    rental->changed = true;
+    rp_info("rental %s names machines=%zu, too many for a value: split with %s", rental->name, n,
+            name);
+    rental_enter(f, second, RP_RENTAL_RECORDING);
+    rental_step(f, second);
+    return true;
+}
+
 static void rental_write(struct rp_fleet *f, struct rp_rental *rental) {
+    if (rental->state != RP_RENTAL_ENDED && rental_split(f, rental))
+        return;
     struct request *r = request_new(f, rental->name);
     char key[RP_KEY_MAX];
     rp_key(key, RP_KEY_RENTAL, rental->name);
@@ -267,21 +326,10 @@
     if (rental->state == RP_RENTAL_ENDED) {
         rp_wire_txn_delete(txn, key);
     } else {
-        const char *names[NAMES_MAX];
-        bool up[NAMES_MAX];
-        size_t n = 0;
         r->names = calloc(NAMES_MAX, sizeof *r->names);
         if (!r->names)
             abort();
-        for (struct rp_machine *m = f->picture->first; m && n < NAMES_MAX; m = m->next)
-            if (m->rental == rental) {
-                names[n] = m->name;
-                up[n] = m->up_recorded || m->session > 0;
-                strcpy(r->names[n], up[n] ? m->name : "");
-                n++;
-            }
-        r->n = n;
-        rp_wire_txn_put(txn, key, rp_record_rental(&rental->record, names, up, n), 0);
+        rp_wire_txn_put(txn, key, rental_record(f, rental, r), 0);
     }
     r->wrote = rental->state;
     rental->changed = false;
@@ -389,6 +437,10 @@
     struct timespec now = rp_loop_now(f->loop);
     if (rental->busy || !rp_ts_reached(now, rental->retry) || !rp_election_valid(f->election, now))
         return;
+    const struct rp_rental *first = *rental->after ? rental_find(f, rental->after) : NULL;
+    if (first && !first->stored)
+        return;
+    rental->after[0] = '\0';
     switch (rental->state) {
     case RP_RENTAL_WRITING:
     case RP_RENTAL_RECORDING:
@@ -412,7 +464,7 @@
 
 /* As many machines as one request may ask for, and one record may name, twice each. */
 static unsigned rental_most(const struct rp_fleet *f) {
-    double fit = (f->settings->state_value_kb * 1024 - RECORD_HEAD) / (2 * RECORD_NAME);
+    double fit = ((double)f->value_most - RECORD_HEAD) / (2 * RECORD_NAME);
     return fit < 1 ? 1 : fit < RENT_MAX ? (unsigned)fit : RENT_MAX;
 }
 
@@ -820,7 +872,7 @@
     struct timespec now = rp_loop_now(f->loop), wall;
     struct rp_rental *rental = rental_add(f, item->key + strlen(RP_KEY_RENTAL));
     if (!rp_record_rental_read(item->value, &rental->record)) {
-        rp_error("rental record %s can't be read", item->key);
+        rp_error("rental record %s can't be read: left alone", item->key);
         rental_free(f, rental);
         return;
     }
@@ -848,7 +900,9 @@
         /* No earlier leader can have answered the machine after this node got the key. */
         m->held_until = rp_ts_after(now, rp_workers_lease_s(f->settings));
     }
-    rental_enter(f, rental, RP_RENTAL_LIVE);
+    /* What a split that was cut short has left names nothing that another doesn't. */
+    const char *name;
+    rental_enter(f, rental, rental_names(f, rental, &name, 1) ? RP_RENTAL_LIVE : RP_RENTAL_ENDED);
 }
 
 static void loaded(void *arg, const struct rp_state_result *result) {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -23,6 +23,7 @@
     uint64_t version; /* of the record, 0: there is none */
     bool version_known;
     struct timespec retry;
+    char after[RP_TEXT_MAX]; /* written only once that one is: it takes over some of the names */
     struct rp_rental *next;
 };
 
@@ -51,6 +52,7 @@
     size_t n_gone;
     unsigned long generation;
     unsigned long next_name;
+    size_t value_most; /* bytes of a record */
     struct timespec led_since;
     struct timespec proven_since;   /* leadership was provable ever since; zero: it isn't now */
     struct timespec isolated_since; /* most machines fell silent together; zero: they didn't */
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -1,5 +1,6 @@
 #include "jobs.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include "log.h"
@@ -9,8 +10,10 @@
 #define FOLLOW_HOLD_S 3.0
 #define DEAF_S 14.0 /* without news from the watch */
 #define FLUSH_EVERY_S 0.25
-#define FLUSH_MOST 24   /* records of some 2.2 KB each: a transaction may have 64 KiB */
-#define FLUSH_AGE_S 2.0 /* progress waits this long for company; a finished job never does */
+#define FLUSH_MOST 24     /* records of some 2.2 KB each: a transaction may have 64 KiB */
+#define FLUSH_AGE_S 2.0   /* progress waits this long for company; a finished job never does */
+#define FLUSH_HOLD_S 5.0  /* after the service has refused a single record as too large */
+#define PROGRESS_FRAME 16 /* bytes of a progress record besides its digits */
 
 /* A request of the table, marked with the leadership it belongs to. */
 struct request {
@@ -20,9 +23,12 @@
     size_t n;
     struct {
         char job[RP_ID_MAX];
-        unsigned chunk;
+        unsigned piece;
+        bool unit; /* or a chunk of the first format */
         uint8_t bits[RP_CHUNK_BYTES];
     } * saved;
+    struct rp_stored left; /* of a finished job's records, after its own transaction */
+    struct rp_stored swept;
 };
 
 static struct request *request_new(struct rp_jobs *t) {
@@ -43,8 +49,11 @@
 static void follow(struct rp_jobs *t);
 
 void rp_jobs_init(struct rp_jobs *t, struct rp_loop *loop, struct rp_state_client *state,
-                  struct rp_election *election, const struct rp_settings *settings) {
+                  struct rp_election *election, const struct rp_upgrade *upgrade,
+                  const struct rp_settings *settings) {
     memset(t, 0, sizeof *t);
+    t->upgrade = upgrade;
+    t->flush_most = FLUSH_MOST;
     t->loop = loop;
     t->state = state;
     t->election = election;
@@ -132,6 +141,7 @@
         return NULL;
     }
     table_insert(t, job);
+    t->n_services += job->spec.kind == RP_SERVICE;
     return job;
 }
 
@@ -140,6 +150,7 @@
     job->state = state;
     if (state != RP_JOB_CLOSED)
         return;
+    t->n_services -= job->spec.kind == RP_SERVICE;
     /* Dropping the last place frees a closed job: held until the stops are through. */
     job->n_refs++;
     if (t->on_closed)
@@ -155,9 +166,25 @@
     }
 }
 
+static void pending_free(struct rp_pending *p) {
+    json_decref(p->record);
+    free(p);
+}
+
 void rp_jobs_clear(struct rp_jobs *t) {
     t->generation++;
-    t->active = false;
+    t->active = t->reading_parts = t->sweeping = t->loading = false;
+    t->n_services = 0;
+    while (t->sweeps) {
+        struct rp_sweep *sweep = t->sweeps;
+        t->sweeps = sweep->next;
+        free(sweep);
+    }
+    while (t->pending) {
+        struct rp_pending *p = t->pending;
+        t->pending = p->next;
+        pending_free(p);
+    }
     rp_timer_cancel(t->loop, &t->timer);
     for (struct rp_job *job = t->first, *next; job; job = next) {
         next = job->next;
@@ -199,34 +226,145 @@
     return result->outcome == RP_STATE_OK;
 }
 
-static void got_progress(void *arg, const struct rp_state_result *result) {
+/* ---- records that no job needs any more ---- */
+
+static bool stored_any(const struct rp_stored *s) {
+    return s->chunks || s->units || s->parts;
+}
+
+static void sweep_later(struct rp_jobs *t, const char *job, const struct rp_stored *stored) {
+    struct rp_sweep **at = &t->sweeps;
+    if (!stored_any(stored))
+        return;
+    for (; *at; at = &(*at)->next)
+        if (strcmp((*at)->job, job) == 0)
+            break;
+    if (!*at) {
+        *at = calloc(1, sizeof **at);
+        if (!*at)
+            abort(); /* out of memory: a restart is the honest answer */
+        strcpy((*at)->job, job);
+    }
+    (*at)->stored.chunks |= stored->chunks;
+    (*at)->stored.units |= stored->units;
+    (*at)->stored.parts |= stored->parts;
+}
+
+/* Adds deletions up to the transaction's limit, and takes them off the set. */
+static void delete_stored(const struct rp_jobs *t, json_t *txn, const char *job,
+                          struct rp_stored *stored) {
+    size_t most = t->settings->state_fit.txn_ops;
+    char key[RP_KEY_MAX];
+    for (unsigned i = 0; i < 64 && rp_wire_txn_ops(txn) < most; i++)
+        if (i < 32 && (stored->chunks >> i & 1)) {
+            rp_key_progress(key, job, i);
+            rp_wire_txn_delete(txn, key);
+            stored->chunks &= ~(UINT32_C(1) << i);
+        }
+    for (unsigned i = 0; i < 64 && rp_wire_txn_ops(txn) < most; i++)
+        if (stored->units >> i & 1) {
+            rp_key_unit(key, job, i);
+            rp_wire_txn_delete(txn, key);
+            stored->units &= ~(UINT64_C(1) << i);
+        }
+    for (unsigned i = 0; i < 64 && rp_wire_txn_ops(txn) < most; i++)
+        if (stored->parts >> i & 1) {
+            rp_key_part(key, job, i);
+            rp_wire_txn_delete(txn, key);
+            stored->parts &= ~(UINT64_C(1) << i);
+        }
+}
+
+static void swept(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
-    bool more = false;
-    struct rp_item item = {0};
-    if (!page_came(r, result))
+    struct rp_sweep *sweep = t->sweeps;
+    if (!request_current(r))
         goto out;
-    size_t n = rp_wire_items(result->body, &more);
-    for (size_t i = 0; i < n; i++) {
-        char id[RP_ID_MAX];
-        unsigned chunk;
-        if (!rp_wire_items_at(result->body, i, &item) ||
-            !rp_key_progress_read(item.key, id, &chunk))
-            continue;
-        struct rp_job *job = rp_jobs_find(t, id);
-        size_t bytes = job ? (job->spec.n_tasks + 7) / 8 : 0;
-        if ((size_t)chunk * RP_CHUNK_BYTES >= bytes)
-            continue;
-        size_t at = (size_t)chunk * RP_CHUNK_BYTES;
-        size_t len = bytes - at < RP_CHUNK_BYTES ? bytes - at : RP_CHUNK_BYTES;
-        rp_record_progress_read(item.value, job->durable + at, len);
-        job->chunks_written |= 1u << chunk;
-    }
-    if (more && n > 0) {
-        list_progress(t, item.key);
+    t->sweeping = false;
+    if (!sweep || strcmp(sweep->job, r->job) != 0)
         goto out;
+    if (result->outcome == RP_STATE_OK) {
+        sweep->stored.chunks &= ~r->swept.chunks;
+        sweep->stored.units &= ~r->swept.units;
+        sweep->stored.parts &= ~r->swept.parts;
+    } else if (result->outcome == RP_STATE_CONFLICT || result->outcome == RP_STATE_BAD) {
+        /* The job is there after all, or somebody else leads: nothing of it may go. */
+        sweep->stored = (struct rp_stored){0};
+    }
+    if (!stored_any(&sweep->stored)) {
+        t->sweeps = sweep->next;
+        free(sweep);
+    }
+out:
+    request_free(r);
+}
+
+/* One transaction of deletions, on the condition that the job is not open. */
+static void sweep_some(struct rp_jobs *t) {
+    struct rp_sweep *sweep = t->sweeps;
+    char key[RP_KEY_MAX];
+    if (!sweep || t->sweeping ||
+        rp_state_room(t->state, RP_SHARE_LEADER) < (double)t->settings->state_fit.txn_ops)
+        return;
+    struct request *r = request_new(t);
+    json_t *txn = rp_wire_txn();
+    struct rp_stored left = sweep->stored;
+    strcpy(r->job, sweep->job);
+    rp_election_guard(t->election, txn);
+    rp_key(key, RP_KEY_OPEN, sweep->job);
+    rp_wire_txn_if(txn, key, 0);
+    delete_stored(t, txn, sweep->job, &left);
+    r->swept = (struct rp_stored){.chunks = sweep->stored.chunks & ~left.chunks,
+                                  .units = sweep->stored.units & ~left.units,
+                                  .parts = sweep->stored.parts & ~left.parts};
+    t->sweeping = true;
+    rp_state_txn(t->state, RP_SHARE_LEADER, txn, swept, r);
+}
+
+/* ---- loading, continued ---- */
+
+/* Whether a record may be read; one that can't be is logged, left alone, and harms no other. */
+static void unreadable(struct rp_jobs *t, const char *key, const json_t *v) {
+    t->n_unreadable++;
+    if (rp_record_format(v) > RP_FORMAT)
+        rp_error("record %s is of format %u, later than %d: left alone", key, rp_record_format(v),
+                 RP_FORMAT);
+    else
+        rp_error("record %s can't be read: left alone", key);
+}
+
+static void read_progress(struct rp_jobs *t, const struct rp_item *item) {
+    char id[RP_ID_MAX];
+    unsigned piece;
+    bool unit;
+    if (!rp_key_progress_read(item->key, id, &piece, &unit))
+        return;
+    struct rp_job *job = rp_jobs_find(t, id);
+    struct rp_stored stored = {.chunks = unit ? 0 : UINT32_C(1) << piece,
+                               .units = unit ? UINT64_C(1) << piece : 0};
+    if (!job) {
+        sweep_later(t, id, &stored);
+        return;
     }
+    size_t span = unit ? RP_UNIT_BYTES : RP_CHUNK_BYTES;
+    size_t bytes = (job->spec.n_tasks + 7) / 8, at = piece * span;
+    if (at >= bytes)
+        return;
+    size_t len = bytes - at < span ? bytes - at : span;
+    if (!rp_record_progress_read(item->value, job->durable + at, len)) {
+        unreadable(t, item->key, item->value);
+        return;
+    }
+    job->stored.chunks |= stored.chunks;
+    job->stored.units |= stored.units;
+}
+
+static void loaded(struct rp_jobs *t) {
     for (struct rp_job *job = t->first; job; job = job->next) {
+        /* A replica is never done, whatever a node of the first format has written. */
+        if (job->spec.kind == RP_SERVICE)
+            continue;
         memcpy(job->done, job->durable, (job->spec.n_tasks + 7) / 8);
         for (uint32_t i = 0; i < job->spec.n_tasks; i++)
             job->n_done += rp_job_task_done(job, i);
@@ -234,9 +372,27 @@
             job_enter(t, job, RP_JOB_FINISHING);
     }
     t->active = true;
+    t->loading = false;
     rp_timer_set(t->loop, &t->timer, FLUSH_EVERY_S);
     follow(t);
     t->on_loaded(t->arg, true);
+}
+
+static void got_progress(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_jobs *t = r->t;
+    bool more = false;
+    struct rp_item item = {0};
+    if (!page_came(r, result))
+        goto out;
+    size_t n = rp_wire_items(result->body, &more);
+    for (size_t i = 0; i < n; i++)
+        if (rp_wire_items_at(result->body, i, &item))
+            read_progress(t, &item);
+    if (more && n > 0)
+        list_progress(t, item.key);
+    else
+        loaded(t);
 out:
     request_free(r);
 }
@@ -246,6 +402,116 @@
                   request_new(t));
 }
 
+/* ---- records in parts ---- */
+
+static void read_next_parts(struct rp_jobs *t);
+
+static void later_parts(struct rp_jobs *t, const struct rp_item *item) {
+    struct rp_pending **at = &t->pending, *p = calloc(1, sizeof *p);
+    if (!p)
+        abort(); /* out of memory: a restart is the honest answer */
+    snprintf(p->job, sizeof p->job, "%s", item->key + strlen(RP_KEY_OPEN));
+    p->record = json_incref(item->value);
+    p->version = item->version;
+    while (*at)
+        at = &(*at)->next;
+    *at = p;
+}
+
+static struct rp_pending *pending_find(const struct rp_jobs *t, const char *job) {
+    struct rp_pending *p = t->pending;
+    while (p && (p->gone || strcmp(p->job, job) != 0))
+        p = p->next;
+    return p;
+}
+
+/* The job's record from its first piece and the parts listed, or NULL. */
+static json_t *put_together(const struct rp_pending *p, json_t *body) {
+    json_t *pieces[RP_PARTS_MAX] = {p->record};
+    size_t want = rp_record_parts(p->record), found = 0;
+    bool more;
+    size_t n = rp_wire_items(body, &more);
+    for (size_t i = 0; i < n; i++) {
+        char id[RP_ID_MAX];
+        unsigned part;
+        struct rp_item item;
+        if (rp_wire_items_at(body, i, &item) && rp_key_part_read(item.key, id, &part) &&
+            strcmp(id, p->job) == 0 && part >= 1 && part <= want && !pieces[part]) {
+            pieces[part] = item.value;
+            found++;
+        }
+    }
+    return found == want ? rp_record_join(pieces, want + 1) : NULL;
+}
+
+static void take_pending(struct rp_jobs *t, struct rp_pending *p, json_t *body) {
+    char key[RP_KEY_MAX];
+    json_t *whole = put_together(p, body);
+    struct rp_job *job = whole ? job_add(t, whole, p->version) : NULL;
+    json_decref(whole);
+    if (job) {
+        job->stored.parts = ((UINT64_C(1) << rp_record_parts(p->record)) - 1) << 1;
+        return;
+    }
+    rp_key(key, RP_KEY_OPEN, p->job);
+    unreadable(t, key, p->record);
+}
+
+static void got_parts(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_jobs *t = r->t;
+    if (!request_current(r))
+        goto out;
+    t->reading_parts = false;
+    if (result->outcome != RP_STATE_OK) {
+        if (t->loading)
+            load_failed(t); /* else the tick tries again */
+        goto out;
+    }
+    struct rp_pending *p = t->pending;
+    t->pending = p->next;
+    bool news = !p->gone;
+    if (!p->gone)
+        take_pending(t, p, result->body);
+    pending_free(p);
+    read_next_parts(t);
+    if (news && t->active && t->on_changed)
+        t->on_changed(t->arg);
+out:
+    request_free(r);
+}
+
+/* While loading, the progress comes once all parts are there: a job that isn't known when its
+ * machines report has its tasks stopped. */
+static void read_next_parts(struct rp_jobs *t) {
+    char prefix[RP_KEY_MAX];
+    if (t->reading_parts)
+        return;
+    if (!t->pending) {
+        if (t->loading)
+            list_progress(t, NULL);
+        return;
+    }
+    snprintf(prefix, sizeof prefix, "%s%s/", RP_KEY_PART, t->pending->job);
+    t->reading_parts = true;
+    rp_state_list(t->state, RP_SHARE_LEADER, prefix, NULL, RP_PARTS_MAX, got_parts, request_new(t));
+}
+
+/* ---- jobs that are open ---- */
+
+static void take_open(struct rp_jobs *t, const struct rp_item *item) {
+    if (rp_record_format(item->value) <= RP_FORMAT && rp_record_parts(item->value)) {
+        later_parts(t, item);
+        return;
+    }
+    struct rp_job *job = job_add(t, item->value, item->version);
+    if (job)
+        rp_debug("job %s known, class=%s tasks=%u", job->spec.id, job->spec.class_name,
+                 job->spec.n_tasks);
+    else
+        unreadable(t, item->key, item->value);
+}
+
 static void got_open(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
@@ -260,13 +526,12 @@
     size_t n = rp_wire_items(result->body, &more);
     for (size_t i = 0; i < n; i++)
         if (rp_wire_items_at(result->body, i, &item) &&
-            !rp_jobs_find(t, item.key + strlen(RP_KEY_OPEN)) &&
-            !job_add(t, item.value, item.version))
-            rp_error("job record %s can't be read", item.key);
+            !rp_jobs_find(t, item.key + strlen(RP_KEY_OPEN)))
+            take_open(t, &item);
     if (more && n > 0)
         list_open(t, item.key);
     else
-        list_progress(t, NULL);
+        read_next_parts(t);
 out:
     request_free(r);
 }
@@ -278,47 +543,31 @@
 void rp_jobs_load(struct rp_jobs *t) {
     rp_jobs_clear(t);
     t->revision = 0;
+    t->loading = true;
     t->synced = rp_loop_now(t->loop);
     list_open(t, NULL);
 }
 
 /* ---- the watch ---- */
 
-static void swept(void *arg, const struct rp_state_result *result) {
-    (void)arg;
-    (void)result;
-}
-
-/* Progress of a cancelled job is of no more use. What a failed try leaves is a few hundred bytes
- * that no job refers to. */
-static void sweep(struct rp_jobs *t, const struct rp_job *job) {
-    char key[RP_KEY_MAX];
-    json_t *txn = rp_wire_txn();
-    rp_election_guard(t->election, txn);
-    for (unsigned c = 0; c < 32 && rp_wire_txn_ops(txn) < t->settings->state_txn_ops; c++)
-        if (job->chunks_written >> c & 1) {
-            rp_key_progress(key, job->spec.id, c);
-            rp_wire_txn_delete(txn, key);
-        }
-    rp_state_txn(t->state, RP_SHARE_LEADER, txn, swept, NULL);
-}
-
 static void apply(struct rp_jobs *t, const struct rp_item *event) {
-    struct rp_job *job = rp_jobs_find(t, event->key + strlen(RP_KEY_OPEN));
-    if (event->value && !job) {
-        job = job_add(t, event->value, event->version);
-        if (job)
-            rp_debug("job %s known, class=%s tasks=%u", job->spec.id, job->spec.class_name,
-                     job->spec.n_tasks);
-        else
-            rp_error("job record %s can't be read", event->key);
+    const char *id = event->key + strlen(RP_KEY_OPEN);
+    struct rp_job *job = rp_jobs_find(t, id);
+    struct rp_pending *p = pending_find(t, id);
+    if (event->value && !job && !p) {
+        take_open(t, event);
     } else if (event->value) {
-        job->version = event->version;
+        *(job ? &job->version : &p->version) = event->version;
+    } else if (p) {
+        struct rp_stored parts = {.parts = ((UINT64_C(1) << rp_record_parts(p->record)) - 1) << 1};
+        p->gone = true;
+        sweep_later(t, id, &parts);
     } else if (job && job->state != RP_JOB_CLOSED) {
         rp_info("job %s is over%s", job->spec.id,
                 job->state == RP_JOB_FINISHING ? "" : ": cancelled");
-        if (job->state == RP_JOB_OPEN && job->chunks_written)
-            sweep(t, job);
+        /* What was about to be written of its progress may still arrive. */
+        if (job->state == RP_JOB_OPEN)
+            sweep_later(t, job->spec.id, &job->stored);
         job_enter(t, job, RP_JOB_CLOSED);
     }
 }
@@ -336,6 +585,7 @@
                 strncmp(event.key, RP_KEY_OPEN, strlen(RP_KEY_OPEN)) == 0)
                 apply(t, &event);
         }
+        read_next_parts(t);
         uint64_t revision = rp_wire_revision(result->body);
         if (revision > t->revision)
             t->revision = revision;
@@ -385,7 +635,8 @@
 }
 
 bool rp_job_task_durable(const struct rp_job *job, uint32_t task) {
-    return job->state == RP_JOB_CLOSED || (job->durable[task / 8] >> (task % 8) & 1);
+    return job->state == RP_JOB_CLOSED || job->spec.kind == RP_SERVICE ||
+           (job->durable[task / 8] >> (task % 8) & 1);
 }
 
 static void mark_done(struct rp_jobs *t, struct rp_job *job, uint32_t task) {
@@ -393,15 +644,16 @@
         return;
     job->done[task / 8] |= (uint8_t)(1u << (task % 8));
     job->n_done++;
-    if (!job->chunks_dirty)
+    if (!job->dirty)
         job->dirty_since = rp_loop_now(t->loop);
-    job->chunks_dirty |= 1u << (task / RP_CHUNK_TASKS);
+    job->dirty |= UINT64_C(1) << (task / RP_UNIT_TASKS);
 }
 
 static void finish(struct rp_jobs *t, struct rp_job *job);
 
 void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task) {
-    if (job->state != RP_JOB_OPEN)
+    /* A service's replica is never done, whatever it says when it ends. */
+    if (job->state != RP_JOB_OPEN || job->spec.kind == RP_SERVICE)
         return;
     if (job->spec.kind == RP_GANG)
         for (uint32_t i = 0; i < job->spec.n_tasks; i++)
@@ -424,10 +676,14 @@
     if (result->outcome == RP_STATE_OK) {
         rp_info("job %s is done, tasks=%u age=%.1fs", job->spec.id, job->spec.n_tasks,
                 rp_job_age_s(job, rp_loop_now(t->loop)));
+        sweep_later(t, job->spec.id, &r->left);
         job_enter(t, job, RP_JOB_CLOSED);
     } else if (result->outcome == RP_STATE_CONFLICT &&
                rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
         rp_election_doubt(t->election);
+    } else if (result->outcome == RP_STATE_BAD) {
+        t->lean = true;
+        job->flush_held = rp_ts_after(rp_loop_now(t->loop), FLUSH_HOLD_S);
     }
     /* Another conflict means that the job was cancelled, or that an unanswered try went through:
      * the watch tells. Anything else is tried again by the tick. */
@@ -436,7 +692,9 @@
 }
 
 static void finish(struct rp_jobs *t, struct rp_job *job) {
-    if (job->writing || !rp_election_valid(t->election, rp_loop_now(t->loop)))
+    struct timespec now = rp_loop_now(t->loop);
+    if (job->writing || !rp_election_valid(t->election, now) ||
+        !rp_ts_reached(now, job->flush_held))
         return;
     struct request *r = request_new(t);
     char key[RP_KEY_MAX];
@@ -448,15 +706,38 @@
     rp_wire_txn_if(txn, key, job->version);
     rp_wire_txn_delete(txn, key);
     rp_key(key, RP_KEY_OVER, job->spec.id);
-    rp_wire_txn_put(txn, key, rp_record_over(RP_JOB_DONE), 0);
-    for (unsigned c = 0; c < 32 && rp_wire_txn_ops(txn) < t->settings->state_txn_ops; c++)
-        if (job->chunks_written >> c & 1) {
-            rp_key_progress(key, job->spec.id, c);
-            rp_wire_txn_delete(txn, key);
-        }
+    rp_wire_txn_put(txn, key, rp_jobs_mark(t, rp_record_over(RP_JOB_DONE)), 0);
+    /* The move itself is atomic; the records that nobody reads any more go as they fit, with it or
+     * after it. */
+    r->left = job->stored;
+    if (!t->lean)
+        delete_stored(t, txn, job->spec.id, &r->left);
     rp_state_txn(t->state, RP_SHARE_LEADER, txn, finished, r);
 }
 
+json_t *rp_jobs_mark(const struct rp_jobs *t, json_t *record) {
+    return rp_upgrade_active(t->upgrade) ? rp_record_mark(record) : record;
+}
+
+/* The units that a piece covers. */
+static uint64_t units_of(unsigned piece, bool unit) {
+    return unit ? UINT64_C(1) << piece
+                : ((UINT64_C(1) << RP_CHUNK_UNITS) - 1) << (piece * RP_CHUNK_UNITS);
+}
+
+/* A record was refused for its size, or a transaction for its length, though all should fit: the
+ * limits are lower than told. Less at a time, and never the same again at once. */
+static void refused_as_large(struct rp_jobs *t, const struct request *r) {
+    struct timespec now = rp_loop_now(t->loop);
+    if (r->n > 1) {
+        t->flush_most = r->n / 2;
+        return;
+    }
+    struct rp_job *job = rp_jobs_find(t, r->saved[0].job);
+    if (job)
+        job->flush_held = rp_ts_after(now, FLUSH_HOLD_S);
+}
+
 static void flushed(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
@@ -464,39 +745,71 @@
         goto out;
     for (size_t i = 0; i < r->n; i++) {
         struct rp_job *job = rp_jobs_find(t, r->saved[i].job);
-        unsigned chunk = r->saved[i].chunk;
-        if (!job)
+        unsigned piece = r->saved[i].piece;
+        bool unit = r->saved[i].unit;
+        struct rp_stored stored = {.chunks = unit ? 0 : UINT32_C(1) << piece,
+                                   .units = unit ? UINT64_C(1) << piece : 0};
+        if (!job || job->state == RP_JOB_CLOSED) {
+            if (result->outcome == RP_STATE_OK || result->outcome == RP_STATE_UNKNOWN)
+                sweep_later(t, r->saved[i].job, &stored);
             continue;
-        job->chunks_flushing &= ~(1u << chunk);
+        }
+        job->flushing &= ~units_of(piece, unit);
         if (result->outcome != RP_STATE_OK) {
-            job->chunks_dirty |= 1u << chunk;
+            job->dirty |= units_of(piece, unit);
             continue;
         }
-        size_t at = (size_t)chunk * RP_CHUNK_BYTES;
-        size_t bytes = (job->spec.n_tasks + 7) / 8;
-        for (size_t b = 0; b < RP_CHUNK_BYTES && at + b < bytes; b++)
+        size_t span = unit ? RP_UNIT_BYTES : RP_CHUNK_BYTES;
+        size_t at = piece * span, bytes = (job->spec.n_tasks + 7) / 8;
+        for (size_t b = 0; b < span && at + b < bytes; b++)
             job->durable[at + b] |= r->saved[i].bits[b];
-        job->chunks_written |= 1u << chunk;
+        job->stored.chunks |= stored.chunks;
+        job->stored.units |= stored.units;
     }
     if (result->outcome == RP_STATE_CONFLICT)
         rp_election_doubt(t->election);
+    if (result->outcome == RP_STATE_BAD)
+        refused_as_large(t, r);
+    else if (result->outcome == RP_STATE_OK && t->flush_most < FLUSH_MOST)
+        t->flush_most++;
 out:
     request_free(r);
 }
 
-static void flush_chunk(struct request *r, json_t *txn, struct rp_job *job, unsigned chunk) {
+static void flush_piece(struct rp_jobs *t, struct request *r, json_t *txn, struct rp_job *job,
+                        unsigned piece, bool unit) {
     char key[RP_KEY_MAX];
-    size_t at = (size_t)chunk * RP_CHUNK_BYTES;
+    size_t span = unit ? RP_UNIT_BYTES : RP_CHUNK_BYTES, at = piece * span;
     size_t bytes = (job->spec.n_tasks + 7) / 8 - at;
-    bytes = bytes < RP_CHUNK_BYTES ? bytes : RP_CHUNK_BYTES;
+    bytes = bytes < span ? bytes : span;
     strcpy(r->saved[r->n].job, job->spec.id);
-    r->saved[r->n].chunk = chunk;
+    r->saved[r->n].piece = piece;
+    r->saved[r->n].unit = unit;
     memcpy(r->saved[r->n].bits, job->done + at, bytes);
     r->n++;
-    rp_key_progress(key, job->spec.id, chunk);
-    rp_wire_txn_put(txn, key, rp_record_progress(job->done + at, bytes), 0);
-    job->chunks_dirty &= ~(1u << chunk);
-    job->chunks_flushing |= 1u << chunk;
+    if (unit)
+        rp_key_unit(key, job->spec.id, piece);
+    else
+        rp_key_progress(key, job->spec.id, piece);
+    rp_wire_txn_put(txn, key, rp_jobs_mark(t, rp_record_progress(job->done + at, bytes)), 0);
+    job->dirty &= ~units_of(piece, unit);
+    job->flushing |= units_of(piece, unit);
+}
+
+/* Until every node reads units, progress goes into the chunks that all of them know; where one
+ * doesn't fit, it waits for the activation. */
+static void flush_job(struct rp_jobs *t, struct request *r, json_t *txn, struct rp_job *job,
+                      size_t most) {
+    bool unit = rp_upgrade_active(t->upgrade);
+    unsigned n = unit ? RP_UNITS_MAX : (RP_UNITS_MAX + RP_CHUNK_UNITS - 1) / RP_CHUNK_UNITS;
+    uint64_t due = job->dirty & ~job->flushing;
+    size_t bytes = (job->spec.n_tasks + 7) / 8;
+    if (!unit && (double)(2 * (bytes < RP_CHUNK_BYTES ? bytes : RP_CHUNK_BYTES) + PROGRESS_FRAME) >
+                     t->settings->state.value_kb * 1024)
+        return;
+    for (unsigned p = 0; p < n && r->n < most; p++)
+        if (due & units_of(p, unit) && !(job->flushing & units_of(p, unit)))
+            flush_piece(t, r, txn, job, p, unit);
 }
 
 /* Writes the progress that has waited longest, as many records together as a transaction and the
@@ -504,7 +817,8 @@
 static void flush(struct rp_jobs *t) {
     struct timespec now = rp_loop_now(t->loop);
     double room = rp_state_room(t->state, RP_SHARE_LEADER) - 3; /* left for finishing jobs */
-    size_t most = t->settings->state_txn_ops < FLUSH_MOST ? t->settings->state_txn_ops : FLUSH_MOST;
+    size_t limit = t->settings->state_fit.txn_ops;
+    size_t most = limit < t->flush_most ? limit : t->flush_most;
     if (room < 1)
         return;
     if ((double)most > room)
@@ -515,16 +829,12 @@
     if (!r->saved)
         abort();
     rp_election_guard(t->election, txn);
-    for (struct rp_job *job = t->first; job; job = job->next) {
-        if (job->state != RP_JOB_OPEN || !job->chunks_dirty ||
+    for (struct rp_job *job = t->first; job && r->n < most; job = job->next) {
+        if (job->state != RP_JOB_OPEN || !job->dirty || !rp_ts_reached(now, job->flush_held) ||
             rp_ts_since(now, job->dirty_since) < FLUSH_AGE_S)
             continue;
-        for (unsigned c = 0; c < 32 && r->n < most; c++)
-            if ((job->chunks_dirty & ~job->chunks_flushing) >> c & 1)
-                flush_chunk(r, txn, job, c);
+        flush_job(t, r, txn, job, most);
         job->dirty_since = now;
-        if (r->n == most)
-            break;
     }
     if (r->n > 0) {
         rp_state_txn(t->state, RP_SHARE_LEADER, txn, flushed, r);
@@ -554,6 +864,8 @@
             finish(t, job);
     }
     flush(t);
+    sweep_some(t);
+    read_next_parts(t);
 }
 
 /* ---- what run times teach ---- */
@@ -572,7 +884,7 @@
 
 void rp_jobs_observe(struct rp_jobs *t, struct rp_job *job, double run_s) {
     struct rp_class_stats *c = class_stats(t, job->spec.class_name);
-    if (job->interrupted)
+    if (job->interrupted || job->spec.kind == RP_SERVICE)
         return;
     job->run_sum_s += run_s;
     job->n_runs++;
@@ -592,6 +904,8 @@
 }
 
 double rp_jobs_expect_s(const struct rp_jobs *t, const struct rp_job *job) {
+    if (job->spec.kind == RP_SERVICE)
+        return 0; /* no end is expected */
     double s = class_expects_s(t, job);
     if (job->n_runs > 0)
         s = (s + job->run_sum_s * 2) / (1 + job->n_runs * 2.0);
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -7,6 +7,7 @@
 #include "model.h"
 #include "records.h"
 #include "settings.h"
+#include "upgrade.h"
 
 enum rp_job_state {
     RP_JOB_OPEN,
@@ -16,6 +17,29 @@
 
 #define RP_JOB_ERRORS_KEPT 4
 
+/* What is stored of a job besides its record: swept once it is over. */
+struct rp_stored {
+    uint32_t chunks; /* progress in the first format's chunks */
+    uint64_t units;  /* and in units */
+    uint64_t parts;  /* of a record too long for one value */
+};
+
+/* Records that no job needs any more, deleted in small steps. */
+struct rp_sweep {
+    char job[RP_ID_MAX];
+    struct rp_stored stored;
+    struct rp_sweep *next;
+};
+
+/* A job whose record came in parts that are still to be read. */
+struct rp_pending {
+    char job[RP_ID_MAX];
+    json_t *record;
+    uint64_t version;
+    bool gone; /* it was cancelled meanwhile */
+    struct rp_pending *next;
+};
+
 struct rp_job {
     struct rp_job_spec spec;
     enum rp_job_state state;
@@ -31,8 +55,10 @@
     uint8_t *done, *durable; /* bit sets over the tasks */
     uint8_t *where;          /* in how many places each task may be; NULL: in none */
     uint32_t zone_count[RP_ZONES_MAX];
-    uint32_t cursor;                                        /* no task below it can be started */
-    uint32_t chunks_written, chunks_dirty, chunks_flushing; /* bit sets */
+    uint32_t cursor;            /* no task below it can be started */
+    uint64_t dirty, flushing;   /* bit sets over units of progress */
+    struct rp_stored stored;    /* records besides its own */
+    struct timespec flush_held; /* the service didn't take its progress */
     struct timespec dirty_since;
     bool writing; /* the finishing transaction is under way */
     uint64_t image_hash;
@@ -46,6 +72,7 @@
     unsigned n_runs;
     double run_floor_s; /* some task has run this long */
     bool interrupted;   /* later run times are of parts of tasks */
+    unsigned ends_row;  /* services: replicas that ended by themselves soon, one after the other */
     struct rp_job *hash_next;
     struct rp_job *prev, *next; /* all jobs in the table, in order of acceptance */
 };
@@ -73,6 +100,14 @@
     uint64_t revision;      /* the table holds everything up to here */
     struct timespec synced; /* when the newest answered watch was sent */
     struct timespec follow_sent;
+    const struct rp_upgrade *upgrade;
+    struct rp_sweep *sweeps;
+    struct rp_pending *pending;
+    bool reading_parts, sweeping, loading;
+    size_t n_services; /* open ones */
+    size_t flush_most; /* records in a transaction; fewer once the service has refused so many */
+    bool lean; /* a job's end was refused as too large: only what has to be atomic goes into it */
+    unsigned long n_unreadable;
     unsigned long generation; /* answers to requests of an earlier leadership are ignored */
     bool active;
     struct rp_timer timer;
@@ -85,7 +120,8 @@
 };
 
 void rp_jobs_init(struct rp_jobs *t, struct rp_loop *loop, struct rp_state_client *state,
-                  struct rp_election *election, const struct rp_settings *settings);
+                  struct rp_election *election, const struct rp_upgrade *upgrade,
+                  const struct rp_settings *settings);
 /* Loads everything; `on_loaded` tells the outcome. */
 void rp_jobs_load(struct rp_jobs *t);
 /* Empties the table; every place must have been dropped before. */
@@ -103,6 +139,8 @@
 bool rp_job_task_durable(const struct rp_job *job, uint32_t task);
 /* A worker has reported the task done (of a gang: any task). */
 void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task);
+/* Marks a record with its format, once that is active. */
+json_t *rp_jobs_mark(const struct rp_jobs *t, json_t *record);
 void rp_jobs_release(struct rp_jobs *t, struct rp_job *job);
 void rp_jobs_observe(struct rp_jobs *t, struct rp_job *job, double run_s);
 /* The expected run time of one of the job's tasks. */
--- a/src/node.c
+++ b/src/node.c
@@ -15,10 +15,12 @@
 #define PATH_HEALTH "/peer/health"
 #define PATH_STATUS "/status"
 #define HEALTH_S 0.5
-#define ALONE_S 2.5 /* without the state service and without any other node */
-#define DEAF_S 1.0  /* without the state service, before the others are asked how they fare */
+#define EAGER_SHARE 0.4 /* of the time between looks at who leads, before the activation */
+#define ALONE_S 2.5     /* without the state service and without any other node */
+#define DEAF_S 1.0      /* without the state service, before the others are asked how they fare */
 
 static void on_elected(void *arg);
+static void on_format(void *arg);
 static void on_lost(void *arg);
 static void on_loaded(void *arg, bool ok);
 static void on_fleet_loaded(void *arg, bool ok);
@@ -37,12 +39,13 @@
     n->loop = loop;
     n->net = net;
     n->settings = s;
-    rp_state_client_init(&n->state, loop, net, s->state_addr, s->state_rps, s->state_write_rps,
+    rp_state_client_init(&n->state, loop, net, s->state_addr, s->state.rps, s->state.write_rps,
                          s->n_nodes, s->tuning.leader_write_share);
     rp_cloud_client_init(&n->cloud, loop, net, s->cloud_addr, s->cloud_rps);
     rp_election_init(&n->election, loop, &n->state, s->node, s->tuning.leader_ttl_s,
                      s->tuning.leader_check_s, on_elected, on_lost, n);
-    rp_jobs_init(&n->jobs, loop, &n->state, &n->election, s);
+    rp_upgrade_init(&n->upgrade, loop, &n->state, &n->election, s, on_format, n);
+    rp_jobs_init(&n->jobs, loop, &n->state, &n->election, &n->upgrade, s);
     if (rp_picture_init(&n->picture, loop, &n->jobs, s, &n->catalog) < 0)
         return -1;
     rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->picture, &n->jobs, s,
@@ -71,6 +74,7 @@
 
 void rp_node_start(struct rp_node *n) {
     rp_timer_set(n->loop, &n->catalog_timer, 0);
+    rp_upgrade_start(&n->upgrade);
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
     rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
 }
@@ -82,6 +86,7 @@
     rp_jobs_clear(&n->jobs);
     rp_round_stop(&n->round);
     rp_election_stop(&n->election);
+    rp_upgrade_stop(&n->upgrade);
     rp_timer_cancel(n->loop, &n->catalog_timer);
     rp_timer_cancel(n->loop, &n->summary_timer);
     rp_timer_cancel(n->loop, &n->retry_timer);
@@ -98,6 +103,35 @@
     rp_election_resign(&n->election, 3600);
 }
 
+/* ---- what has to be known before a node may lead ---- */
+
+/* It leads once it knows the machine types, and that no later version's format is active. Until
+ * every node knows this version's, it looks more often who leads: so that a free key rather comes
+ * to a node that won't be replaced. */
+static void may_lead(struct rp_node *n) {
+    if (!n->catalog_known || !n->upgrade.looked || n->electing ||
+        n->upgrade.at == RP_UPGRADE_TOO_OLD)
+        return;
+    n->electing = true;
+    rp_election_start(&n->election);
+}
+
+static void on_format(void *arg) {
+    struct rp_node *n = arg;
+    const struct rp_settings *s = n->settings;
+    if (n->upgrade.at == RP_UPGRADE_TOO_OLD) {
+        rp_election_resign(&n->election, 3600);
+        rp_election_stop(&n->election);
+    } else if (rp_upgrade_active(&n->upgrade)) {
+        n->election.check_s = s->tuning.leader_check_s;
+        /* Other limits may come at any moment from now on. */
+        rp_state_client_limits(&n->state, s->state_fit.rps, s->state_fit.write_rps);
+    } else if (!s->tuning.keep_old_forms) {
+        n->election.check_s = s->tuning.leader_check_s * EAGER_SHARE;
+    }
+    may_lead(n);
+}
+
 /* ---- the machine types: without them a node can't judge submissions, nor lead ---- */
 
 static void catalog_came(void *arg, const struct rp_answer *answer) {
@@ -105,7 +139,7 @@
     if (answer->status == 200 && rp_wire_catalog(answer->body, answer->len, &n->catalog)) {
         n->catalog_known = true;
         rp_info("machine types known: %zu", n->catalog.n_types);
-        rp_election_start(&n->election);
+        may_lead(n);
         return;
     }
     rp_timer_set(n->loop, &n->catalog_timer, 0.5);
@@ -362,12 +396,16 @@
         json_object_set_new(wins, n->settings->tuning.heuristics[i],
                             json_integer((json_int_t)n->round.wins[i]));
     json_t *v = json_pack(
-        "{s:s,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "node",
-        n->settings->node, "state", states[n->at], "leader", n->election.leader, "token",
-        (json_int_t)n->election.token, "lease_proven",
-        rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes", class_counts(n),
-        "machines", machine_counts(n), "rounds", (json_int_t)n->round.n_rounds, "plan_winners",
-        wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
+        "{s:s,s:s,s:i,s:s,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,"
+        "s:I,s:I,s:I,s:o}",
+        "node", n->settings->node, "version", RP_VERSION, "format", RP_FORMAT, "upgrade",
+        rp_upgrade_word(&n->upgrade), "nodes_known", (json_int_t)n->upgrade.n_known,
+        "state_too_fast", (json_int_t)n->state.n_too_fast, "state_too_large",
+        (json_int_t)n->state.n_bad, "unreadable", (json_int_t)n->jobs.n_unreadable, "state",
+        states[n->at], "leader", n->election.leader, "token", (json_int_t)n->election.token,
+        "lease_proven", rp_election_valid(&n->election, rp_loop_now(n->loop)), "classes",
+        class_counts(n), "machines", machine_counts(n), "rounds", (json_int_t)n->round.n_rounds,
+        "plan_winners", wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
         (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented, "refused",
         (json_int_t)n->fleet.n_refused, "returned", (json_int_t)n->fleet.n_returned, "accepted",
         (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "stale_reports",
@@ -392,8 +430,8 @@
     else if (get && strcmp(req->target, PATH_HEALTH) == 0)
         req->respond(req, 200,
                      n->state.n_ok > 0 && rp_state_failing_s(&n->state) <= 0
-                         ? "{\"state_answers\":true}"
-                         : "{\"state_answers\":false}",
+                         ? "{\"state_answers\":true,\"version\":\"" RP_VERSION "\"}"
+                         : "{\"state_answers\":false,\"version\":\"" RP_VERSION "\"}",
                      0);
     else if (get && strcmp(req->target, PATH_STATUS) == 0)
         respond_text(req, status_json(n));
@@ -404,8 +442,8 @@
 /* ---- users, workers, health ---- */
 
 bool rp_node_healthy(const struct rp_node *n) {
-    return !n->leaving && n->catalog_known && n->state.n_ok > 0 &&
-           rp_ts_reached(rp_loop_now(n->loop), n->deaf_until);
+    return !n->leaving && n->upgrade.at != RP_UPGRADE_TOO_OLD && n->catalog_known &&
+           n->state.n_ok > 0 && rp_ts_reached(rp_loop_now(n->loop), n->deaf_until);
 }
 
 static void refuse(struct rp_request *req, int status, const char *text) {
--- a/src/node.h
+++ b/src/node.h
@@ -12,6 +12,7 @@
 #include "round.h"
 #include "settings.h"
 #include "state_client.h"
+#include "upgrade.h"
 #include "workers.h"
 
 enum rp_node_state {
@@ -30,6 +31,7 @@
     struct rp_state_client state;
     struct rp_cloud_client cloud;
     struct rp_election election;
+    struct rp_upgrade upgrade;
     struct rp_jobs jobs;
     struct rp_picture picture;
     struct rp_fleet fleet;
@@ -44,6 +46,7 @@
     struct rp_job_status *summary;
     size_t n_summary;
     unsigned long n_accepted;
+    bool electing; /* takes part in elections */
     bool leaving;
 };
 
--- a/src/records.c
+++ b/src/records.c
@@ -14,24 +14,141 @@
     snprintf(out, RP_KEY_MAX, "%s%s/%02u", RP_KEY_PROGRESS, job, chunk);
 }
 
-bool rp_key_progress_read(const char *key, char job[RP_ID_MAX], unsigned *chunk) {
-    size_t prefix = strlen(RP_KEY_PROGRESS);
+void rp_key_unit(char out[RP_KEY_MAX], const char *job, unsigned unit) {
+    snprintf(out, RP_KEY_MAX, "%s%s/u%02u", RP_KEY_PROGRESS, job, unit);
+}
+
+void rp_key_part(char out[RP_KEY_MAX], const char *job, unsigned part) {
+    snprintf(out, RP_KEY_MAX, "%s%s/%02u", RP_KEY_PART, job, part);
+}
+
+/* "<prefix><job>/<rest>": the rest, or NULL. */
+static const char *split_key(const char *key, const char *prefix, char job[RP_ID_MAX]) {
+    size_t len = strlen(prefix);
     const char *slash = strrchr(key, '/');
-    if (strncmp(key, RP_KEY_PROGRESS, prefix) != 0 || !slash || slash < key + prefix ||
-        (size_t)(slash - key) - prefix >= RP_ID_MAX || !isdigit((unsigned char)slash[1]))
+    if (strncmp(key, prefix, len) != 0 || !slash || slash < key + len ||
+        (size_t)(slash - key) - len >= RP_ID_MAX)
+        return NULL;
+    memcpy(job, key + len, (size_t)(slash - key) - len);
+    job[(size_t)(slash - key) - len] = '\0';
+    return slash + 1;
+}
+
+static bool read_number(const char *text, unsigned below, unsigned *out) {
+    char *end;
+    if (!isdigit((unsigned char)*text))
         return false;
-    memcpy(job, key + prefix, (size_t)(slash - key) - prefix);
-    job[(size_t)(slash - key) - prefix] = '\0';
-    *chunk = (unsigned)strtoul(slash + 1, NULL, 10);
-    return *chunk < (RP_TASKS_MAX + RP_CHUNK_TASKS - 1) / RP_CHUNK_TASKS;
+    unsigned long n = strtoul(text, &end, 10);
+    *out = (unsigned)n;
+    return !*end && n < below;
+}
+
+bool rp_key_progress_read(const char *key, char job[RP_ID_MAX], unsigned *piece, bool *unit) {
+    const char *rest = split_key(key, RP_KEY_PROGRESS, job);
+    if (!rest)
+        return false;
+    *unit = *rest == 'u';
+    return *unit ? read_number(rest + 1, RP_UNITS_MAX, piece)
+                 : read_number(rest, (RP_TASKS_MAX + RP_CHUNK_TASKS - 1) / RP_CHUNK_TASKS, piece);
+}
+
+bool rp_key_part_read(const char *key, char job[RP_ID_MAX], unsigned *part) {
+    const char *rest = split_key(key, RP_KEY_PART, job);
+    return rest && read_number(rest, RP_PARTS_MAX, part);
+}
+
+/* ---- formats ---- */
+
+unsigned rp_record_format(const json_t *v) {
+    json_int_t f = json_integer_value(json_object_get(v, "f"));
+    return f > 0 ? (unsigned)f : 1;
+}
+
+json_t *rp_record_mark(json_t *v) {
+    json_object_set_new(v, "f", json_integer(RP_FORMAT));
+    return v;
+}
+
+size_t rp_record_size(const json_t *v) {
+    return json_dumpb(v, NULL, 0, JSON_COMPACT);
+}
+
+/* How much of the text, which is plain ASCII, fits into a JSON string of so many bytes. */
+static size_t fitting(const char *text, size_t most) {
+    size_t n = 0, bytes = 0;
+    for (; text[n]; n++) {
+        bytes += text[n] == '"' || text[n] == '\\' ? 2 : 1;
+        if (bytes > most)
+            break;
+    }
+    return n;
 }
 
+size_t rp_record_cut(const json_t *record, size_t most, json_t **pieces, size_t max) {
+    static const size_t frame = 64; /* the names and numbers around the text */
+    char *text = json_dumps(record, JSON_COMPACT | JSON_ENSURE_ASCII);
+    const char *at = text;
+    size_t n = 0;
+    if (!text || most <= 2 * frame)
+        goto out;
+    for (; *at && n < max && n < RP_PARTS_MAX; n++) {
+        size_t len = fitting(at, most - frame);
+        pieces[n] = rp_record_mark(json_pack("{s:s%}", "text", at, len));
+        at += len;
+    }
+    if (*at) {
+        while (n > 0)
+            json_decref(pieces[--n]);
+        goto out;
+    }
+    json_object_set_new(pieces[0], "parts", json_integer((json_int_t)n - 1));
+out:
+    free(text);
+    return n;
+}
+
+size_t rp_record_parts(const json_t *v) {
+    json_int_t n = json_integer_value(json_object_get(v, "parts"));
+    return n > 0 && n < RP_PARTS_MAX ? (size_t)n : 0;
+}
+
+json_t *rp_record_join(json_t *const *pieces, size_t n) {
+    char *text = NULL;
+    size_t len = 0;
+    json_t *v = NULL;
+    for (size_t i = 0; i < n; i++) {
+        const char *piece = json_string_value(json_object_get(pieces[i], "text"));
+        char *longer = piece ? realloc(text, len + strlen(piece) + 1) : NULL;
+        if (!longer)
+            goto out;
+        text = longer;
+        strcpy(text + len, piece);
+        len += strlen(piece);
+    }
+    v = text ? json_loads(text, 0, NULL) : NULL;
+out:
+    free(text);
+    return v;
+}
+
+json_t *rp_record_version(const char *node) {
+    return rp_record_mark(json_pack("{s:s,s:s}", "node", node, "version", RP_VERSION));
+}
+
+json_t *rp_record_activation(void) {
+    return rp_record_mark(json_object());
+}
+
+/* ---- jobs ---- */
+
 json_t *rp_record_open(const struct rp_job_spec *spec, struct timespec accepted) {
     return json_pack("{s:o,s:f}", "spec", rp_wire_spec_json(spec), "at", rp_ts_s(accepted));
 }
 
 bool rp_record_open_read(json_t *v, struct rp_job_spec *spec, struct timespec *accepted) {
     char why[128];
+    if (rp_record_format(v) > RP_FORMAT)
+        return false;
     *accepted = rp_ts(json_number_value(json_object_get(v, "at")));
     return rp_wire_spec_read(json_object_get(v, "spec"), spec, why);
 }
@@ -42,10 +159,8 @@
 
 bool rp_record_over_read(json_t *v, enum rp_job_word *word) {
     const char *end = json_string_value(json_object_get(v, "end"));
-    if (!end)
-        return false;
-    *word = strcmp(end, "done") == 0 ? RP_JOB_DONE : RP_JOB_CANCELLED;
-    return true;
+    *word = end && strcmp(end, "done") == 0 ? RP_JOB_DONE : RP_JOB_CANCELLED;
+    return end && (*word == RP_JOB_DONE || strcmp(end, "cancelled") == 0);
 }
 
 json_t *rp_record_progress(const uint8_t *bits, size_t n_bytes) {
@@ -71,7 +186,7 @@
 bool rp_record_progress_read(json_t *v, uint8_t *bits, size_t n_bytes) {
     const char *hex = json_string_value(json_object_get(v, "done"));
     size_t len = hex ? strlen(hex) : 1;
-    if (len % 2 || len / 2 > n_bytes)
+    if (rp_record_format(v) > RP_FORMAT || len % 2 || len / 2 > n_bytes)
         return false;
     for (size_t i = 0; i < len / 2; i++) {
         int high = hex_digit(hex[2 * i]), low = hex_digit(hex[2 * i + 1]);
@@ -121,6 +236,8 @@
     const char *type = json_string_value(json_object_get(v, "type"));
     const char *zone = json_string_value(json_object_get(v, "zone"));
     memset(out, 0, sizeof *out);
+    if (rp_record_format(v) > RP_FORMAT)
+        return false;
     if (!type || strlen(type) >= RP_TEXT_MAX || !zone || strlen(zone) >= RP_TEXT_MAX)
         return false;
     strcpy(out->type, type);
--- a/src/records.h
+++ b/src/records.h
@@ -12,16 +12,46 @@
 #define RP_KEY_OVER RP_KEY_ROOT "over/"         /* how a job ended, kept for ever */
 #define RP_KEY_PROGRESS RP_KEY_ROOT "progress/" /* tasks done, by id and chunk */
 #define RP_KEY_RENTAL RP_KEY_ROOT "rental/"     /* rental requests and their machines */
+#define RP_KEY_PART RP_KEY_ROOT "part/" /* the rest of job records that one value can't hold */
+#define RP_KEY_VERSION                                                                             \
+    RP_KEY_ROOT "version/"                 /* nodes that know the format below, while they live */
+#define RP_KEY_FORMAT RP_KEY_ROOT "format" /* that all nodes do; never undone */
 #define RP_KEY_MAX 200
 
-/* Tasks in one progress record; its value stays near 2 KiB however large the job is. */
+/* The format of what is stored. 1: version 0.1.0, whose records don't name it. 2: since 0.2.0, once
+ * activated (upgrade.h). Records of a later one are left alone. */
+#define RP_FORMAT 2
+
+/* Tasks in one progress record. Format 1 had chunks of 8192, near 2.1 KiB: more than a state
+ * service may take whose limits have come down. Format 2 has units of 2048, near 0.5 KiB. */
 #define RP_CHUNK_TASKS 8192
 #define RP_CHUNK_BYTES (RP_CHUNK_TASKS / 8)
+#define RP_UNIT_TASKS 2048
+#define RP_UNIT_BYTES (RP_UNIT_TASKS / 8)
+#define RP_CHUNK_UNITS (RP_CHUNK_TASKS / RP_UNIT_TASKS)
+#define RP_UNITS_MAX ((RP_TASKS_MAX + RP_UNIT_TASKS - 1) / RP_UNIT_TASKS)
+#define RP_PARTS_MAX 64
 
 void rp_key(char out[RP_KEY_MAX], const char *prefix, const char *name);
 void rp_key_progress(char out[RP_KEY_MAX], const char *job, unsigned chunk);
-/* Splits a progress key; false when it is none. */
-bool rp_key_progress_read(const char *key, char job[RP_ID_MAX], unsigned *chunk);
+/* Of format 2; a node of format 1 passes it over. */
+void rp_key_unit(char out[RP_KEY_MAX], const char *job, unsigned unit);
+/* Splits a progress key of either format; false when it is none. */
+bool rp_key_progress_read(const char *key, char job[RP_ID_MAX], unsigned *piece, bool *unit);
+void rp_key_part(char out[RP_KEY_MAX], const char *job, unsigned part);
+bool rp_key_part_read(const char *key, char job[RP_ID_MAX], unsigned *part);
+
+/* The format that a record names; 1 when it names none. */
+unsigned rp_record_format(const json_t *v);
+/* Marks a record with the format of today; for use once it is activated. */
+json_t *rp_record_mark(json_t *v);
+size_t rp_record_size(const json_t *v);
+/* Cuts a record into pieces of at most `most` bytes; returns how many, 0 if `max` aren't enough.
+ * The first takes the record's place and tells how many others there are. */
+size_t rp_record_cut(const json_t *record, size_t most, json_t **pieces, size_t max);
+/* How many other pieces belong to this one; 0: it is whole. */
+size_t rp_record_parts(const json_t *v);
+json_t *rp_record_join(json_t *const *pieces, size_t n);
 
 json_t *rp_record_open(const struct rp_job_spec *spec, struct timespec accepted);
 bool rp_record_open_read(json_t *v, struct rp_job_spec *spec, struct timespec *accepted);
@@ -29,6 +59,8 @@
 bool rp_record_over_read(json_t *v, enum rp_job_word *word);
 json_t *rp_record_progress(const uint8_t *bits, size_t n_bytes);
 bool rp_record_progress_read(json_t *v, uint8_t *bits, size_t n_bytes);
+json_t *rp_record_version(const char *node);
+json_t *rp_record_activation(void);
 json_t *rp_record_leader(const char *node);
 const char *rp_record_leader_read(json_t *v);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -145,6 +145,35 @@
     }
 }
 
+/* `needed`: all of them; else what is absent stays as it is. */
+static void read_limits(struct reading *r, json_t *in, const char *path, bool needed,
+                        struct rp_state_limits *out) {
+    if (needed || json_object_get(in, "rps"))
+        out->rps = need_number(r, in, path, "rps", 1, 1e6);
+    if (needed || json_object_get(in, "write_rps"))
+        out->write_rps = need_number(r, in, path, "write_rps", 1, 1e6);
+    if (needed || json_object_get(in, "value_kb"))
+        out->value_kb = need_number(r, in, path, "value_kb", 1, 1e6);
+    if (needed || json_object_get(in, "txn_ops"))
+        out->txn_ops = (size_t)need_number(r, in, path, "txn_ops", 2, 1e6);
+}
+
+/* Limits that come at some moment, unannounced: from the activation on everything fits both. */
+static void read_state(struct reading *r, json_t *state, struct rp_settings *s) {
+    json_t *next = json_object_get(state, "next");
+    read_limits(r, state, "params.state", true, &s->state);
+    struct rp_state_limits later = s->state;
+    if (next && !json_is_null(next) && !json_is_object(next))
+        mistake(r, "params.state.next", "must be an object");
+    else if (json_is_object(next))
+        read_limits(r, next, "params.state.next", false, &later);
+    s->state_fit = (struct rp_state_limits){
+        .rps = fmin(s->state.rps, later.rps),
+        .write_rps = fmin(s->state.write_rps, later.write_rps),
+        .value_kb = fmin(s->state.value_kb, later.value_kb),
+        .txn_ops = s->state.txn_ops < later.txn_ops ? s->state.txn_ops : later.txn_ops};
+}
+
 static void read_params(struct reading *r, json_t *params, struct rp_settings *s) {
     json_t *workers = need(r, params, "params", "workers", JSON_OBJECT);
     json_t *state = need(r, params, "params", "state", JSON_OBJECT);
@@ -159,10 +188,7 @@
     s->gang_wait_s = need_number(r, workers, "params.workers", "gang_wait_s", 0, 86400);
     s->gang_peer_s = need_number(r, workers, "params.workers", "gang_peer_s", 0, 86400);
     s->cancel_s = need_number(r, workers, "params.workers", "cancel_s", 0, 86400);
-    s->state_rps = need_number(r, state, "params.state", "rps", 1, 1e6);
-    s->state_write_rps = need_number(r, state, "params.state", "write_rps", 1, 1e6);
-    s->state_value_kb = need_number(r, state, "params.state", "value_kb", 3, 1e6);
-    s->state_txn_ops = (size_t)need_number(r, state, "params.state", "txn_ops", 2, 1e6);
+    read_state(r, state, s);
     s->cloud_rps = need_number(r, cloud, "params.cloud", "rps", 0.01, 1e6);
     s->list_lag_s = need_number(r, cloud, "params.cloud", "list_lag_s", 0, 3600);
     s->cpu_share = need_number(r, limits, "params.machine_limits", "cpu_share", 0.001, 1e6);
@@ -226,7 +252,9 @@
                             .refused_pause_s = 15,
                             .leader_write_share = 0.6,
                             .faulty_after = 2,
-                            .preemption = true};
+                            .preemption = true,
+                            .keep_old_forms = false,
+                            .service_reserve = 1};
     t->n_heuristics = sizeof heuristics / sizeof heuristics[0];
     for (size_t i = 0; i < t->n_heuristics; i++)
         strcpy(t->heuristics[i], heuristics[i]);
@@ -296,6 +324,8 @@
     TAKE(leader_write_share);
     TAKE(faulty_after);
     TAKE(preemption);
+    TAKE(keep_old_forms);
+    TAKE(service_reserve);
 #undef TAKE
     mistakes += take_heuristics(t, m, file, errors);
     const struct range ranges[] = {
@@ -307,7 +337,8 @@
         {"boot_patience", t->boot_patience, 1, 100},
         {"refused_pause_s", t->refused_pause_s, 0, 3600},
         {"leader_write_share", t->leader_write_share, 0.1, 0.9},
-        {"faulty_after", t->faulty_after, 1, 1000}};
+        {"faulty_after", t->faulty_after, 1, 1000},
+        {"service_reserve", t->service_reserve, 0, 100}};
     mistakes += check_ranges(ranges, sizeof ranges / sizeof ranges[0], file, errors);
 out:
     protobuf_c_message_free_unpacked(&m->base, NULL);
--- a/src/settings.h
+++ b/src/settings.h
@@ -30,6 +30,12 @@
     double within_s, share, times;
 };
 
+/* What the state service takes. */
+struct rp_state_limits {
+    double rps, write_rps, value_kb;
+    size_t txn_ops;
+};
+
 /* What the operators may tune; see operator.proto. */
 struct rp_tuning {
     double round_period_s, billing_unit_s, return_margin_s;
@@ -39,6 +45,8 @@
     double boot_patience, refused_pause_s, leader_write_share;
     unsigned faulty_after;
     bool preemption;
+    bool keep_old_forms;
+    double service_reserve;
 };
 
 struct rp_settings {
@@ -55,8 +63,8 @@
     struct rp_objective *objectives;
     size_t n_objectives;
     double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
-    double state_rps, state_write_rps, state_value_kb;
-    size_t state_txn_ops;
+    struct rp_state_limits state;     /* of today */
+    struct rp_state_limits state_fit; /* what fits today's and those to come */
     double cloud_rps, list_lag_s;
     double memory_mb, cpu_share;
     size_t max_connections;
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -29,30 +29,43 @@
 
 static void pump_due(void *arg);
 
-void rp_state_client_init(struct rp_state_client *c, struct rp_loop *loop, struct rp_net net,
-                          const char *addr, double rps, double write_rps, size_t n_nodes,
-                          double leader_write_share) {
-    struct timespec now = rp_loop_now(loop);
+/* What is left of a bucket stays in it. */
+static void set_rate(struct rp_bucket *b, double rate, double depth, struct timespec now) {
+    double level = b->depth > 0 ? fmin(b->level, depth) : depth;
+    rp_bucket_init(b, rate, depth, now);
+    b->level = level;
+}
+
+void rp_state_client_limits(struct rp_state_client *c, double rps, double write_rps) {
+    struct timespec now = rp_loop_now(c->loop);
     /* The shares of all nodes together stay below the service's limits: one leader, and on each
      * node its users. A node may use half as much again as its even part, since the load
      * balancer never spreads evenly. */
-    double users = 1.0 - leader_write_share;
-    double part = 1.2 / (double)n_nodes;
+    double users = 1.0 - c->leader_write_share;
+    double part = 1.2 / (double)c->n_nodes;
+    set_rate(&c->requests[RP_SHARE_LEADER], rps * 0.3, rps * 0.25, now);
+    set_rate(&c->writes[RP_SHARE_LEADER], write_rps * c->leader_write_share * 0.9,
+             write_rps * c->leader_write_share * 0.6, now);
+    set_rate(&c->requests[RP_SHARE_QUERIES], rps * 0.45 * part, rps * 0.35 * part, now);
+    set_rate(&c->requests[RP_SHARE_SUBMISSIONS], rps * 0.1 * part, rps * 0.05, now);
+    /* Submissions come in bursts, and no node knows of the others': a node may let a quarter of a
+     * second's worth of changes go at once, however many nodes there are, and rely on the service
+     * to refuse what is too much, which is then tried again. */
+    set_rate(&c->writes[RP_SHARE_SUBMISSIONS], write_rps * users * part,
+             write_rps * fmax(users * part, BURST_SHARE), now);
+}
+
+void rp_state_client_init(struct rp_state_client *c, struct rp_loop *loop, struct rp_net net,
+                          const char *addr, double rps, double write_rps, size_t n_nodes,
+                          double leader_write_share) {
     memset(c, 0, sizeof *c);
     c->loop = loop;
     c->net = net;
     c->addr = addr;
+    c->n_nodes = n_nodes;
+    c->leader_write_share = leader_write_share;
     c->pump = (struct rp_timer){.fn = pump_due, .arg = c};
-    rp_bucket_init(&c->requests[RP_SHARE_LEADER], rps * 0.35, rps * 0.25, now);
-    rp_bucket_init(&c->writes[RP_SHARE_LEADER], write_rps * leader_write_share * 0.9,
-                   write_rps * leader_write_share * 0.6, now);
-    rp_bucket_init(&c->requests[RP_SHARE_QUERIES], rps * 0.45 * part, rps * 0.35 * part, now);
-    rp_bucket_init(&c->requests[RP_SHARE_SUBMISSIONS], rps * 0.1 * part, rps * 0.05, now);
-    /* Submissions come in bursts, and no node knows of the others': a node may let a quarter of a
-     * second's worth of changes go at once, however many nodes there are, and rely on the service
-     * to refuse what is too much, which is then tried again. */
-    rp_bucket_init(&c->writes[RP_SHARE_SUBMISSIONS], write_rps * users * part,
-                   write_rps * fmax(users * part, BURST_SHARE), now);
+    rp_state_client_limits(c, rps, write_rps);
 }
 
 static void call_free(struct rp_state_call *call) {
@@ -121,12 +134,25 @@
     enqueue(arg);
 }
 
+/* The service took less than we thought that it would: its limits have come down, or other nodes
+ * used them up. What was refused is paid for once more, so that the pace goes down with it. */
+static void too_fast(struct rp_state_client *c, const struct rp_state_call *call) {
+    struct rp_bucket *writes = &c->writes[call->share];
+    if (c->n_too_fast++ % 100 == 0)
+        rp_info("state service refuses more requests or changes a second, so far %lu times",
+                c->n_too_fast);
+    if (writes->level > -writes->depth)
+        rp_bucket_take(writes, call->writes);
+}
+
 static void answered(void *arg, const struct rp_answer *answer) {
     struct rp_state_call *call = arg;
     struct rp_state_client *c = call->client;
     enum rp_state_outcome outcome = outcome_of(answer->status);
     json_t *body = NULL;
     note_health(c, outcome, answer->status);
+    if (answer->status == 429)
+        too_fast(c, call);
     if (answer->status == 429 && ++call->tries < TRIES_429) {
         rp_timer_set(c->loop, &call->again, 0.1 * call->tries);
         return;
@@ -135,6 +161,7 @@
         body = rp_wire_parse(answer->body, answer->len);
     if (outcome == RP_STATE_OK && answer->len && !body)
         outcome = RP_STATE_UNKNOWN;
+    c->n_bad += outcome == RP_STATE_BAD;
     if (outcome == RP_STATE_BAD)
         rp_error("state service refused %s %s: %.200s", call->method, call->target, answer->body);
     finish(call, outcome, body);
--- a/src/state_client.h
+++ b/src/state_client.h
@@ -41,16 +41,22 @@
     struct rp_loop *loop;
     struct rp_net net;
     const char *addr;
+    size_t n_nodes;
+    double leader_write_share;
     struct rp_bucket requests[RP_SHARES], writes[RP_SHARES];
     struct rp_state_call *first[RP_SHARES], *last[RP_SHARES];
     struct rp_timer pump;
     struct timespec failing_since; /* zero while the last outcome was good */
     unsigned long n_ok, n_refused, n_unknown, n_shed;
+    unsigned long n_too_fast; /* 429 */
+    unsigned long n_bad;      /* 400 */
 };
 
 void rp_state_client_init(struct rp_state_client *c, struct rp_loop *loop, struct rp_net net,
                           const char *addr, double rps, double write_rps, size_t n_nodes,
                           double leader_write_share);
+/* Other limits of the service hold from now on. */
+void rp_state_client_limits(struct rp_state_client *c, double rps, double write_rps);
 void rp_state_client_close(struct rp_state_client *c);
 
 void rp_state_get(struct rp_state_client *c, enum rp_state_share share, const char *key,
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -149,6 +149,7 @@
     uint8_t bits[RP_CHUNK_BYTES], back[RP_CHUNK_BYTES] = {0};
     char key[RP_KEY_MAX], job[RP_ID_MAX];
     unsigned chunk;
+    bool unit;
     (void)state;
     gsl_rng_set(rng, 3);
     for (size_t i = 0; i < sizeof bits; i++)
@@ -162,10 +163,14 @@
     free(text);
     json_decref(v);
     rp_key_progress(key, "j-000001", 12);
-    assert_true(rp_key_progress_read(key, job, &chunk));
+    assert_true(rp_key_progress_read(key, job, &chunk, &unit) && !unit);
     assert_string_equal(job, "j-000001");
     assert_int_equal(chunk, 12);
-    assert_false(rp_key_progress_read(RP_KEY_PROGRESS "x", job, &chunk));
+    rp_key_unit(key, "j-000001", 48);
+    assert_true(rp_key_progress_read(key, job, &chunk, &unit) && unit);
+    assert_int_equal(chunk, 48);
+    assert_false(rp_key_progress_read(RP_KEY_PROGRESS "x", job, &chunk, &unit));
+    assert_false(rp_key_progress_read(RP_KEY_PROGRESS "j-1/u49", job, &chunk, &unit));
     gsl_rng_free(rng);
 }
 
