--- a/src/fleet.c
+++ b/src/fleet.c
@@ -9,6 +9,7 @@
 #include "workers.h"
 
 #define TICK_S 0.5
+#define TICK_LEAST_S 0.02
 #define LIST_PAGE 500
 #define LOAD_PAGE 1000
 #define DELETE_MAX 100
@@ -805,14 +806,16 @@
     switch (m->state) {
     case RP_MACHINE_UNKNOWN:
     case RP_MACHINE_UP:
-        if (rp_ts_reached(now, m->held_until))
+        if (rp_ts_reached(now, m->held_until)) {
             rp_machine_enter(f->picture, m, RP_MACHINE_LOST);
-        else if (!cut_off && rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > DEAF_RETURN_S)
+            f->news = true;
+        } else if (!cut_off && rp_machine_deaf(m) &&
+                   rp_ts_since(now, m->deaf_since) > DEAF_RETURN_S)
             rp_fleet_return(f, m, "gets no answers");
         else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
             rp_fleet_return(f, m, "taken back");
         else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->emptied) &&
-                 m->n_places == 0 && m->n_foreign == 0)
+                 rp_machine_idle(m))
             rp_fleet_return(f, m,
                             m->faulty    ? "faulty"
                             : m->noticed ? "taken back soon"
@@ -835,10 +838,21 @@
     }
 }
 
+/* What ran on a lost machine runs elsewhere from the moment on when its lease is over. */
+static double until_lost_s(const struct rp_fleet *f, struct timespec now) {
+    double next = TICK_S;
+    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+        double left = rp_ts_since(m->held_until, now);
+        if ((m->state == RP_MACHINE_UP || m->state == RP_MACHINE_UNKNOWN) && left > 0)
+            next = fmin(next, left + TICK_LEAST_S / 10);
+    }
+    return fmax(next, TICK_LEAST_S);
+}
+
 static void tick(void *arg) {
     struct rp_fleet *f = arg;
     struct timespec now = rp_loop_now(f->loop);
-    rp_timer_set(f->loop, &f->timer, TICK_S);
+    rp_timer_set(f->loop, &f->timer, until_lost_s(f, now));
     if (!rp_election_valid(f->election, now)) {
         f->proven_since = (struct timespec){0};
         return;
@@ -855,6 +869,9 @@
     }
     for (struct rp_machine *m = f->picture->first; m; m = m->next)
         watch_machine(f, m, cut_off, now);
+    if (f->news && f->on_changed)
+        f->on_changed(f->arg);
+    f->news = false;
     delete_some(f);
     for (struct rp_rental *r = f->rentals, *next; r; r = next) {
         next = r->next;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -60,6 +60,7 @@
     struct timespec zone_out_seen[RP_ZONES_MAX]; /* when they last were; zero: never */
     struct timespec many_lost_seen; /* when a good part of the machines was lost; zero: never */
     bool listing, deleting;
+    bool news; /* a machine was lost in this tick */
     struct timespec next_list, next_catalog;
     char list_after[RP_TEXT_MAX];
     struct rp_timer timer;
--- a/src/node.c
+++ b/src/node.c
@@ -53,8 +53,11 @@
     if (rp_metrics_init(&n->metrics) < 0)
         return -1;
     rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s,
-                    &n->metrics);
-    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s, &n->metrics);
+                    &n->metrics, net);
+    rp_services_init(&n->services, loop, &n->picture, &n->jobs, &n->workers, &n->fleet, s,
+                     &n->catalog);
+    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, &n->services, s,
+                  &n->metrics);
     n->jobs.on_loaded = on_loaded;
     n->jobs.on_closed = on_closed;
     n->jobs.on_changed = on_room;
@@ -85,6 +88,7 @@
     rp_picture_free(&n->picture);
     rp_jobs_clear(&n->jobs);
     rp_round_stop(&n->round);
+    rp_services_stop(&n->services);
     rp_election_stop(&n->election);
     rp_upgrade_stop(&n->upgrade);
     rp_timer_cancel(n->loop, &n->catalog_timer);
@@ -163,18 +167,21 @@
     switch (at) {
     case RP_NODE_FOLLOWING:
         rp_round_stop(&n->round);
+        rp_services_stop(&n->services);
         rp_fleet_clear(&n->fleet);
         rp_picture_reset(&n->picture, 0);
         rp_jobs_clear(&n->jobs);
         break;
     case RP_NODE_RECOVERING:
         rp_round_stop(&n->round);
+        rp_services_stop(&n->services);
         rp_fleet_clear(&n->fleet);
         rp_picture_reset(&n->picture, n->election.token);
         rp_jobs_load(&n->jobs);
         break;
     case RP_NODE_LEADING:
         rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->picture.n_machines);
+        rp_services_start(&n->services);
         rp_round_start(&n->round);
         break;
     }
@@ -238,6 +245,8 @@
     struct rp_node *n = arg;
     if (n->at != RP_NODE_LEADING)
         return true;
+    /* Services don't wait for a round: what has room for them now is known. */
+    rp_services_run(&n->services);
     double wait = until_round_s(n);
     if (wait <= 0) {
         run_round(n);
--- a/src/node.h
+++ b/src/node.h
@@ -10,6 +10,7 @@
 #include "net.h"
 #include "picture.h"
 #include "round.h"
+#include "services.h"
 #include "settings.h"
 #include "state_client.h"
 #include "upgrade.h"
@@ -36,6 +37,7 @@
     struct rp_picture picture;
     struct rp_fleet fleet;
     struct rp_workers workers;
+    struct rp_services services;
     struct rp_round round;
     struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
--- a/src/picture.c
+++ b/src/picture.c
@@ -280,15 +280,27 @@
     return true;
 }
 
+bool rp_machine_idle(const struct rp_machine *m) {
+    for (size_t i = 0; i < m->n_places; i++)
+        if (m->places[i].state != RP_PLACE_EXITED || !m->places[i].direct)
+            return false;
+    return m->n_foreign == 0;
+}
+
 bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m) {
-    const struct rp_resources *each = &job->spec.each;
+    static const struct rp_resources none = {0};
+    return rp_picture_may_start_over(p, job, task, m, &none);
+}
+
+bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+                               const struct rp_machine *m, const struct rp_resources *freed) {
     struct rp_resources room = rp_machine_free(p, m);
+    rp_resources_add(&room, freed);
     return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && rp_job_places(job, task) == 0 &&
            !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_job_settled(p, job) &&
            rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
-           each->cpus <= room.cpus + 1e-9 && each->gpus <= room.gpus + 1e-9 &&
-           each->memory_gb <= room.memory_gb + 1e-9 && rp_picture_quota_room(p, job) >= 1;
+           rp_resources_fit(&job->spec.each, &room) && rp_picture_quota_room(p, job) >= 1;
 }
 
 static void count_place(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
--- a/src/picture.h
+++ b/src/picture.h
@@ -30,6 +30,9 @@
     enum rp_task_state task_state;
     enum rp_exit why;
     uint64_t sent_seq;       /* number of the report whose answer carried the start */
+    uint64_t seen_seq;       /* number of the newest message that listed it */
+    bool direct;             /* the start went as a direct command: copies of it may come late */
+    bool direct_open;        /* and that command's answer is still waited for */
     struct timespec since;   /* planned */
     struct timespec running; /* first seen running */
     bool stop;               /* is to be stopped */
@@ -66,11 +69,18 @@
     bool recorded;    /* its name is durable */
     bool up_recorded; /* and that it is up: only then may starts go to it */
     struct rp_rental *rental;
-    uint64_t session, seq;
+    uint64_t session;
+    uint64_t seq;        /* of its newest message: a report or the answer to a direct command */
+    uint64_t report_seq; /* of its newest report */
+    unsigned n_direct;   /* direct commands and questions sent since then */
+    bool probing;        /* it is being asked whether it is there */
+    unsigned probes_failed;
+    struct timespec probed;
     bool token_seen; /* its newest report shows our token */
     bool noticed;    /* the cloud takes it away soon */
     struct timespec notice_end;
     struct timespec rented, up, last_report;
+    struct timespec last_heard; /* the newest message of any kind */
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
     struct timespec first_answer, last_answer; /* ours; zero: none yet */
     struct timespec lost_since;
@@ -151,6 +161,12 @@
                        int zone, bool spot);
 bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m);
+/* The same where `freed` of the machine's room is given back by the very message that starts it. */
+bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+                               const struct rp_machine *m, const struct rp_resources *freed);
+/* Nothing is on the machine, nor may be. What has ended may still be listed: attempts that were
+ * started directly are kept known there, so that late copies of their starts do nothing. */
+bool rp_machine_idle(const struct rp_machine *m);
 /* Tasks of the job that its team's limit leaves room for now. */
 uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job);
 struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
--- a/src/plan.c
+++ b/src/plan.c
@@ -292,7 +292,7 @@
     const struct rp_plan_group *largest = NULL;
     for (size_t k = 0; k < n; k++) {
         const struct rp_plan_group *g = &r->in->groups[r->sorted[k].item];
-        if (g->kind != RP_GANG && !r->given_up[r->sorted[k].item] &&
+        if (g->kind == RP_ARRAY && !r->given_up[r->sorted[k].item] &&
             (!largest || group_work(g) > group_work(largest)))
             largest = g;
     }
@@ -327,7 +327,7 @@
     }
     for (size_t i = 0; i < n && r->plan->short_of_room[gpus]; i++)
         if (r->in->groups[r->sorted[i].item].late)
-            r->given_up[r->sorted[i].item] = r->in->groups[r->sorted[i].item].kind != RP_GANG;
+            r->given_up[r->sorted[i].item] = r->in->groups[r->sorted[i].item].kind == RP_ARRAY;
 }
 
 static void give_up_all(struct run *r) {
@@ -361,7 +361,7 @@
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
         /* Gangs are never given up: behind all smaller arrays they would wait too long. */
-        bool small_first = g->kind != RP_GANG && r->plan->short_of_room[on_gpus(g)];
+        bool small_first = g->kind == RP_ARRAY && r->plan->short_of_room[on_gpus(g)];
         double key = group_key(g, order, i, &fleet, small_first ? short_weight : ESW_WEIGHT);
         if (order == RP_ESW)
             key += ESW_FETCH * fetch_ahead_s(r, i) - (g->spot ? 0 : ESW_FEW);
@@ -885,7 +885,7 @@
                 .type = m->type, .zone = m->zone, .spot = m->spot, .capacity = &m->capacity};
         }
         bool up = m->room.cpus > 0 || m->n_ends > 0;
-        pool->machines++;
+        pool->machines += fmax(0, 1 - m->taken);
         pool->work_s += m->work_s + (up ? 0 : m->wait_s);
     }
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -66,6 +66,7 @@
     struct rp_resources spare; /* of the room now: what work without the type's GPUs may take */
     double wait_s;             /* until `later` holds */
     double age_s;              /* since its rental */
+    double taken;              /* the part of it that services hold */
     double work_s;             /* its tasks' remaining time, weighed by their part of it */
     double busy_s;             /* until its last task's estimated end */
     double own_busy_s; /* the same of its own kind of work alone, not of what takes spare room */
--- a/src/room.c
+++ b/src/room.c
@@ -16,6 +16,7 @@
 #define GATHER_SLACK_S 6  /* run times are estimates */
 #define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
+#define STAYS_S 300       /* how much longer a replica is expected to be wanted */
 
 /* A gang of one task that has room made for it by priority doesn't need it kept. */
 bool rp_room_whole(const struct rp_job *job) {
@@ -416,12 +417,21 @@
 
 /* ---- moving the last work of a machine elsewhere ---- */
 
-/* A task that keeps its progress when stopped, and whose start counts already. */
+/* A task that keeps its progress when stopped, or a replica, which has none; and whose start counts
+ * already. */
 static bool movable(const struct rp_place *place, struct timespec now) {
     const struct rp_job_spec *spec = &place->job->spec;
+    bool keeps = spec->kind == RP_SERVICE || (spec->checkpoint_s > 0 && spec->kind == RP_ARRAY);
     return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
-           spec->checkpoint_s > 0 && spec->kind == RP_ARRAY &&
-           rp_ts_since(now, place->running) > START_COUNTS_S;
+           keeps && rp_ts_since(now, place->running) > START_COUNTS_S;
+}
+
+/* Until the place is free by itself. */
+static double stays_s(const struct rp_round *r, const struct rp_machine *m,
+                      const struct rp_place *place, struct timespec now) {
+    if (place->state == RP_PLACE_EXITED)
+        return 0;
+    return place->job->spec.kind == RP_SERVICE ? STAYS_S : rp_place_left_s(r, m, place, now);
 }
 
 /* The room of every machine, in the picture's order, as it is used up by tasks that are to move. */
@@ -431,24 +441,33 @@
     size_t n;
 };
 
+/* What one_zone and spread say of the task in another zone, once it has left its own. */
+static bool zone_takes(const struct rp_machine *from, const struct rp_machine *to,
+                       const struct rp_job *job) {
+    if (from->zone == to->zone || (!job->spec.one_zone && !job->spec.spread))
+        return true;
+    return !job->spec.one_zone && job->zone_count[to->zone] + 1 <= (job->spec.n_tasks + 1) / 2;
+}
+
 /* The machine that has to be kept least longer for a task that moves to it; -1 when none has room.
  */
 static double cheapest_move(const struct rp_round *r, const struct rooms *rooms,
                             const struct rp_machine *from, const struct rp_place *place,
                             size_t *where, struct timespec now) {
-    double left = rp_place_left_s(r, from, place, now) + MOVE_S + place->job->spec.save_s;
+    double left = stays_s(r, from, place, now) + MOVE_S + place->job->spec.save_s;
     double best = -1;
     size_t at = 0;
     for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
         if (o == from || rooms->source[at] || !rp_machine_usable(o) || rp_room_reserved_for(r, o) ||
-            o->n_places == 0 ||
+            rp_machine_idle(o) ||
             !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
+            !zone_takes(from, o, place->job) ||
             !rp_resources_fit(&place->job->spec.each, &rooms->free[at]) ||
             !rp_machine_has_image(o, place->job->image_hash))
             continue;
         double busy = 0;
         for (size_t k = 0; k < o->n_places; k++)
-            busy = fmax(busy, rp_place_left_s(r, o, &o->places[k], now));
+            busy = fmax(busy, stays_s(r, o, &o->places[k], now));
         double more = fmax(0, left - busy) * rp_fleet_price(rp_round_catalog(r), o->type, o->spot);
         if (best < 0 || more < best) {
             best = more;
@@ -467,6 +486,9 @@
     if (!to)
         return -1;
     for (; n < m->n_places && price >= 0; n++) {
+        to[n] = rooms->n;
+        if (m->places[n].state == RP_PLACE_EXITED)
+            continue;
         double more = cheapest_move(r, rooms, m, &m->places[n], &to[n], now);
         if (more < 0) {
             price = -1;
@@ -476,7 +498,8 @@
         price = fmax(price, more);
     }
     for (size_t i = 0; price < 0 && i < n; i++)
-        rp_resources_add(&rooms->free[to[i]], &m->places[i].job->spec.each);
+        if (to[i] < rooms->n)
+            rp_resources_add(&rooms->free[to[i]], &m->places[i].job->spec.each);
     free(to);
     return price;
 }
@@ -492,14 +515,21 @@
 static double empty_saving(const struct rp_round *r, const struct rp_round_input *x,
                            struct rooms *rooms, const struct rp_machine *m, struct timespec now) {
     double price = rp_fleet_price(rp_round_catalog(r), m->type, m->spot), busy = 0;
-    if (!rp_machine_usable(m) || m->n_places == 0 || m->emptied || type_wanted(x, m->type) ||
+    if (!rp_machine_usable(m) || rp_machine_idle(m) || m->emptied || type_wanted(x, m->type) ||
         rp_room_reserved_for(r, m))
         return -1;
+    bool ready = rp_round_catalog(r)->types[m->type].capacity.gpus <= 0 && !m->spot;
     for (size_t i = 0; i < m->n_places; i++) {
+        if (m->places[i].state == RP_PLACE_EXITED)
+            continue;
         if (!movable(&m->places[i], now))
             return -1;
-        busy = fmax(busy, rp_place_left_s(r, m, &m->places[i], now));
+        busy = fmax(busy, stays_s(r, m, &m->places[i], now));
     }
+    if (ready && rp_services_ready_cpus(r->services, m) <
+                     rp_services_reserve_cpus(r->services) +
+                         rp_round_catalog(r)->types[m->type].capacity.cpus)
+        return -1;
     if (busy <= 2 * MOVE_S)
         return -1;
     struct rp_resources *before = calloc(rooms->n + 1, sizeof *before);
@@ -534,8 +564,11 @@
     (void)move_price(r, rooms, m, now);
     rooms->source[at] = true;
     m->emptied = true;
-    for (size_t i = 0; i < m->n_places; i++)
-        rp_place_stop(&m->places[i], m->places[i].job->spec.save_s * 1.2 + 1);
+    for (size_t i = 0; i < m->n_places; i++) {
+        const struct rp_job_spec *spec = &m->places[i].job->spec;
+        if (m->places[i].state != RP_PLACE_EXITED)
+            rp_place_stop(&m->places[i], spec->kind == RP_SERVICE ? 0 : spec->save_s * 1.2 + 1);
+    }
 }
 
 /* Where a load falls, the last long tasks sit on many machines, each kept for a task or two. Where
--- a/src/round.c
+++ b/src/round.c
@@ -11,8 +11,10 @@
 
 void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
                    struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                   const struct rp_settings *settings, struct rp_metrics *metrics) {
+                   struct rp_services *services, const struct rp_settings *settings,
+                   struct rp_metrics *metrics) {
     memset(r, 0, sizeof *r);
+    r->services = services;
     r->metrics = metrics;
     r->loop = loop;
     r->election = election;
@@ -96,9 +98,38 @@
     }
 }
 
+/* Whether services could go to the machine. */
+static bool ready_room(const struct rp_round *r, const struct rp_machine *m) {
+    return !m->spot && rp_round_catalog(r)->types[m->type].capacity.gpus <= 0;
+}
+
+/* Services come at any moment and are to run within seconds, while a machine takes half a minute
+ * and more to boot: where room for what comes in that time isn't there, free or held by work that
+ * can be stopped at once, one machine more is rented, of the kind with most capacity per price. */
+static void hold_ready(struct rp_round *r, const struct rp_round_input *x,
+                       const struct rp_plan *plan) {
+    const struct rp_plan_kind *best = NULL;
+    if (plan->n_fresh > 0 ||
+        rp_services_ready_cpus(r->services, NULL) >= rp_services_reserve_cpus(r->services))
+        return;
+    for (size_t k = 0; k < x->in.n_kinds; k++) {
+        const struct rp_plan_kind *kind = &x->kinds[k];
+        if (kind->spot || kind->capacity.gpus > 0)
+            continue;
+        if (rp_fleet_pending(r->fleet, kind->type, kind->zone, kind->spot) > 0)
+            return;
+        if (!kind->refused && kind->price > 0 &&
+            (!best || kind->capacity.cpus / kind->price > best->capacity.cpus / best->price))
+            best = kind;
+    }
+    if (best)
+        rp_fleet_rent(r->fleet, best->type, best->zone, false, 1);
+}
+
 static void apply_returns(struct rp_round *r, const struct rp_round_input *x,
                           const struct rp_plan *plan, struct timespec now) {
     const struct rp_tuning *t = &r->settings->tuning;
+    double reserve = rp_services_reserve_cpus(r->services);
     bool *wanted = calloc(x->in.n_machines + 1, sizeof *wanted);
     if (!wanted)
         return;
@@ -107,13 +138,14 @@
             wanted[plan->puts[p].machine] = true;
     for (size_t i = 0; i < x->in.n_machines; i++) {
         struct rp_machine *m = x->machines[i].ref;
-        if (!m || wanted[i] || m->n_places > 0 || m->n_foreign > 0 || m->state != RP_MACHINE_UP)
+        if (!m || wanted[i] || !rp_machine_idle(m) || m->state != RP_MACHINE_UP)
             continue;
         double age = rp_ts_since(now, m->rented);
         double into = fmod(age, t->billing_unit_s);
         /* The first minute is paid for in any case (PROTOCOL, price). */
         if (age >= RP_MIN_CHARGE_S - t->return_margin_s &&
-            into >= t->billing_unit_s - t->return_margin_s)
+            into >= t->billing_unit_s - t->return_margin_s &&
+            !(ready_room(r, m) && rp_services_ready_cpus(r->services, m) < reserve))
             rp_fleet_return(r->fleet, m, "idle near its unit's end");
     }
     free(wanted);
@@ -158,6 +190,7 @@
         return;
     r->last = now;
     r->n_rounds++;
+    rp_services_run(r->services);
     rp_room_mend_gangs(r, now);
     if (!rp_round_input_build(r, &x, now))
         goto out;
@@ -174,10 +207,12 @@
         log_use(r);
     rp_room_prefer_holders(r, &x, &plan, now);
     apply_starts(r, &x, &plan);
+    rp_services_send(r->services);
     /* While machines from before the takeover are unknown, what they run is, too: renting for
      * tasks that may be running already would be waste. */
     if (rp_picture_settled(r->picture)) {
         apply_rentals(r, &x, &plan);
+        hold_ready(r, &x, &plan);
         rp_room_preempt(r, &x, &plan, now);
         rp_room_gather(r, &x, &plan, now);
         rp_room_empty_machines(r, &x, now);
--- a/src/round.h
+++ b/src/round.h
@@ -6,6 +6,7 @@
 #include "fleet.h"
 #include "metrics.h"
 #include "plan.h"
+#include "services.h"
 
 struct rp_round {
     struct rp_loop *loop;
@@ -13,6 +14,7 @@
     struct rp_picture *picture;
     struct rp_jobs *jobs;
     struct rp_fleet *fleet;
+    struct rp_services *services;
     const struct rp_settings *settings;
     struct rp_metrics *metrics;
     struct rp_heuristic heuristics[RP_HEURISTICS_MAX];
@@ -31,7 +33,8 @@
 
 void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
                    struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                   const struct rp_settings *settings, struct rp_metrics *metrics);
+                   struct rp_services *services, const struct rp_settings *settings,
+                   struct rp_metrics *metrics);
 void rp_round_start(struct rp_round *r);
 void rp_round_stop(struct rp_round *r);
 /* One round now. */
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -91,12 +91,19 @@
             continue;
         double left = rp_place_left_s(r, m, place, now);
         double age = rp_ts_since(now, place->since);
+        bool service = place->job->spec.kind == RP_SERVICE;
         out->busy_s = fmax(out->busy_s, left);
         if (place->job->spec.each.gpus > 0)
             out->own_busy_s = fmax(out->own_busy_s, left);
         out->first_arrival_s = fmax(out->first_arrival_s, age);
         out->last_arrival_s = sum == 0 ? age : fmin(out->last_arrival_s, age);
         sum += age;
+        /* By formula (1) it ends with its machine's unit, as tasks without an estimate do; but
+         * nothing can count on the room. */
+        if (service) {
+            out->taken += rp_plan_part(&place->job->spec.each, &out->capacity);
+            continue;
+        }
         out->work_s += left * rp_plan_part(&place->job->spec.each, &out->capacity);
         add_end(ends, &out->n_ends, left, &place->job->spec.each);
         if (left <= out->wait_s)
@@ -294,23 +301,27 @@
                         struct rp_plan_group *g, struct timespec now) {
     const struct rp_job_spec *spec = &job->spec;
     const struct rp_catalog *c = rp_round_catalog(r);
-    *g = (struct rp_plan_group){.ref = job,
-                                .kind = spec->kind,
-                                .priority = spec->priority,
-                                .n = n,
-                                .each = spec->each,
-                                .run_s = rp_jobs_expect_s(r->jobs, job),
-                                .image_gb = spec->image_gb,
-                                .age_s = rp_job_age_s(job, now),
-                                .slack_s = RP_NO_AIM_S,
-                                .team = job->team,
-                                .spot = spec->spot,
-                                .one_zone = spec->one_zone && spec->n_tasks > 1,
-                                .spread = spec->spread && spec->n_tasks > 1,
-                                .fixed_zone = -1,
-                                .spread_max = (spec->n_tasks + 1) / 2};
+    double run = rp_jobs_expect_s(r->jobs, job);
+    *g = (struct rp_plan_group){
+        .ref = job,
+        .kind = spec->kind,
+        .priority = spec->priority,
+        .n = n,
+        .each = spec->each,
+        .run_s = spec->kind == RP_SERVICE ? r->settings->tuning.billing_unit_s : run,
+        .image_gb = spec->image_gb,
+        .age_s = rp_job_age_s(job, now),
+        .slack_s = RP_NO_AIM_S,
+        .team = job->team,
+        .spot = spec->spot,
+        .one_zone = spec->one_zone && spec->n_tasks > 1,
+        .spread = spec->spread && spec->n_tasks > 1,
+        .fixed_zone = -1,
+        .spread_max = (spec->n_tasks + 1) / 2};
     allowed_types(r, spec, g);
-    g->slack_s = slack(r, job, g);
+    /* A service's aims are those of a start, which priority alone decides. */
+    if (spec->kind != RP_SERVICE)
+        g->slack_s = slack(r, job, g);
     g->held = job->held_round == r->n_rounds;
     for (size_t z = 0; z < c->n_zones; z++) {
         if (!*spec->zone || strcmp(spec->zone, c->zones[z]) == 0)
@@ -376,8 +387,9 @@
         return;
     /* Large jobs that are given up so that more small ones are in time begin all the same: the
      * users want the first task of every job within four minutes. */
-    if (r->short_of_room[job->spec.each.gpus > 0] && !begun && n > 1 && job->spec.kind != RP_GANG &&
-        x->in.n_groups + 1 < most && rp_job_age_s(job, now) > BEGIN_AFTER_S) {
+    if (r->short_of_room[job->spec.each.gpus > 0] && !begun && n > 1 &&
+        job->spec.kind == RP_ARRAY && x->in.n_groups + 1 < most &&
+        rp_job_age_s(job, now) > BEGIN_AFTER_S) {
         build_group(r, job, 1, &x->groups[x->in.n_groups], now);
         x->groups[x->in.n_groups++].begin = true;
         n--;
--- /dev/null
+++ b/src/services.c
@@ -0,0 +1,374 @@
+#include "services.h"
+
+#include <math.h>
+#include <string.h>
+#include "fleet.h"
+#include "log.h"
+
+/* What makes a machine worse for a replica, in seconds of a later start. */
+#define SAME_MACHINE_S 0.4 /* for each replica of the job that one loss would take as well */
+#define SAME_MOST 4        /* but not more than for so many */
+#define SAME_ZONE_S 0.8    /* for each that a zone has beyond its even part */
+#define LOST_WORK_SHARE 0.02
+#define ERROR_S 5.0
+#define FAILED_HERE_S 20.0
+#define SPOT_S 40.0
+#define GPU_S 120.0 /* such machines are wanted whole, and cost many times as much */
+#define KEPT_S 0.3  /* a machine that holds services anyway isn't kept longer by one more */
+#define FETCH_LEFT_S 0.3
+#define WATCH_S 0.25
+#define SILENT_SLACK_S 0.6
+#define PROBES 2       /* so many questions without an answer, one after the other */
+#define GONE_SHARE 0.1 /* of the machines: where more are silent, it is a cut that ends */
+#define LED_S 3.0      /* a new leader has heard of every machine that is there by then */
+#define FLOW_S 60.0    /* time constant of what is remembered of arrivals */
+
+static void watch_due(void *arg);
+
+void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_picture *picture,
+                      struct rp_jobs *jobs, struct rp_workers *workers, struct rp_fleet *fleet,
+                      const struct rp_settings *settings, const struct rp_catalog *catalog) {
+    memset(s, 0, sizeof *s);
+    s->fleet = fleet;
+    s->watch = (struct rp_timer){.fn = watch_due, .arg = s};
+    s->loop = loop;
+    s->picture = picture;
+    s->jobs = jobs;
+    s->workers = workers;
+    s->settings = settings;
+    s->catalog = catalog;
+}
+
+void rp_services_start(struct rp_services *s) {
+    s->flow = (struct rp_service_flow){0};
+    s->counted = 0;
+    rp_timer_set(s->loop, &s->watch, WATCH_S);
+}
+
+void rp_services_stop(struct rp_services *s) {
+    rp_timer_cancel(s->loop, &s->watch);
+}
+
+/* ---- room that lower work gives ---- */
+
+static bool lower(const struct rp_place *place, const struct rp_job *job) {
+    return place->job->spec.kind == RP_ARRAY && place->job->spec.priority < job->spec.priority;
+}
+
+/* Stopped without time to save: it is over by the time when a start that follows is carried out. */
+static bool going(const struct rp_place *place) {
+    return place->state == RP_PLACE_SEEN && place->stop && place->grace_s <= 0;
+}
+
+static bool may_go(const struct rp_place *place, const struct rp_job *job) {
+    return lower(place, job) && !place->stop &&
+           (place->state == RP_PLACE_SEEN || place->state == RP_PLACE_PLANNED);
+}
+
+/* The work that is lost with it, in seconds. */
+static double worth(const struct rp_place *place, struct timespec now) {
+    double ran = rp_ts_zero(place->running) ? 0 : rp_ts_since(now, place->running);
+    double kept = place->job->spec.checkpoint_s;
+    return place->state == RP_PLACE_PLANNED ? 0 : 1 + (kept > 0 ? fmin(ran, kept) : ran);
+}
+
+static struct rp_place *cheapest(struct rp_machine *m, const struct rp_job *job, const bool *taken,
+                                 struct timespec now) {
+    struct rp_place *best = NULL;
+    double best_worth = 0;
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        if ((taken && taken[i]) || !may_go(place, job))
+            continue;
+        double price = worth(place, now) + 1000.0 * (double)place->job->spec.priority;
+        if (!best || price < best_worth) {
+            best = place;
+            best_worth = price;
+        }
+    }
+    return best;
+}
+
+static struct rp_resources room_of(const struct rp_services *s, const struct rp_machine *m) {
+    struct rp_resources room = rp_machine_free(s->picture, m);
+    for (size_t i = 0; i < m->n_places; i++)
+        if (going(&m->places[i]))
+            rp_resources_add(&room, &m->places[i].job->spec.each);
+    return room;
+}
+
+#define PLACES_MAX 1024
+
+/* Seconds of work that are lost if the machine makes room for one task; negative: it can't. */
+static double room_price(const struct rp_services *s, struct rp_machine *m,
+                         const struct rp_job *job, struct timespec now) {
+    struct rp_resources room = room_of(s, m);
+    bool taken[PLACES_MAX] = {false};
+    double price = 0;
+    if (rp_resources_fit(&job->spec.each, &room))
+        return 0;
+    if (!s->settings->tuning.preemption || m->n_places > PLACES_MAX)
+        return -1;
+    while (!rp_resources_fit(&job->spec.each, &room)) {
+        struct rp_place *place = cheapest(m, job, taken, now);
+        if (!place)
+            return -1;
+        taken[place - m->places] = true;
+        rp_resources_add(&room, &place->job->spec.each);
+        price += worth(place, now);
+    }
+    return price;
+}
+
+static void make_room(struct rp_services *s, struct rp_machine *m, const struct rp_job *job,
+                      struct timespec now) {
+    struct rp_resources room = room_of(s, m);
+    while (!rp_resources_fit(&job->spec.each, &room)) {
+        struct rp_place *place = cheapest(m, job, NULL, now);
+        if (!place)
+            return;
+        rp_resources_add(&room, &place->job->spec.each);
+        s->n_made_room++;
+        if (place->state == RP_PLACE_PLANNED)
+            rp_place_drop(s->picture, m, (size_t)(place - m->places));
+        else
+            rp_place_stop(place, 0);
+    }
+}
+
+/* ---- the best machine ---- */
+
+/* Until the image is there. Images fetched at the same time may share the machine's rate. */
+static double fetch_s(const struct rp_services *s, const struct rp_machine *m,
+                      const struct rp_job *job, struct timespec now) {
+    double rate = s->catalog->types[m->type].fetch_gb_per_s;
+    uint64_t others[8];
+    size_t n = 0;
+    if (rp_machine_has_image(m, job->image_hash) || rate <= 0)
+        return 0;
+    double own = job->spec.image_gb / rate;
+    for (size_t i = 0; i < m->n_places; i++) {
+        const struct rp_place *place = &m->places[i];
+        if (place->state == RP_PLACE_EXITED || place->task_state != RP_TASK_FETCHING)
+            continue;
+        uint64_t hash = place->job->image_hash;
+        if (hash == job->image_hash)
+            return fmax(FETCH_LEFT_S, own - rp_ts_since(now, place->since));
+        bool known = rp_machine_has_image(m, hash);
+        for (size_t k = 0; k < n; k++)
+            known |= others[k] == hash;
+        if (!known && n < sizeof others / sizeof others[0])
+            others[n++] = hash;
+    }
+    return own * (double)(1 + n);
+}
+
+static bool fresh(const struct rp_services *s, const struct rp_machine *m, struct timespec now) {
+    return rp_ts_since(now, m->last_heard) < 1.25 * s->settings->report_s + SILENT_SLACK_S;
+}
+
+/* Its room is kept for a gang. */
+static bool kept(const struct rp_machine *m, struct timespec now) {
+    return *m->reserved && !rp_ts_reached(now, m->reserved_until);
+}
+
+/* How many more of the job's replicas the zone would have than an even part of them. */
+static double zone_excess(const struct rp_services *s, const struct rp_job *job, int zone) {
+    double even = ceil((double)job->spec.n_tasks / fmax(1, (double)s->catalog->n_zones));
+    return fmin(fmax(0, job->zone_count[zone] + 1 - even), SAME_MOST);
+}
+
+/* What speaks against the machine, in seconds; negative: it can't take the task. */
+static double price_of(const struct rp_services *s, struct rp_machine *m, const struct rp_job *job,
+                       struct timespec now) {
+    if (!rp_machine_usable(m) || m->emptied || kept(m, now) || !fresh(s, m, now) ||
+        !rp_picture_allows(s->picture, &job->spec, m->type, m->zone, m->spot))
+        return -1;
+    double lost = room_price(s, m, job, now);
+    if (lost < 0)
+        return -1;
+    const struct rp_resources *capacity = &s->catalog->types[m->type].capacity;
+    bool gpus = capacity->gpus > 0 && job->spec.each.gpus <= 0;
+    bool serves = false;
+    double price = fetch_s(s, m, job, now) + lost * LOST_WORK_SHARE;
+    unsigned same = 0;
+    for (size_t i = 0; i < m->n_places; i++) {
+        const struct rp_place *place = &m->places[i];
+        if (place->state == RP_PLACE_EXITED)
+            continue;
+        serves |= place->job->spec.kind == RP_SERVICE;
+        same += place->job == job && same < SAME_MOST;
+    }
+    price += same * SAME_MACHINE_S + zone_excess(s, job, m->zone) * SAME_ZONE_S;
+    for (unsigned i = 0; i < job->n_error_on; i++)
+        price += strcmp(job->error_on[i], m->name) == 0 ? FAILED_HERE_S : 0;
+    price += ERROR_S * m->errors_row + (m->spot ? SPOT_S : 0) + (gpus ? GPU_S : 0);
+    return price + (serves ? 0 : KEPT_S);
+}
+
+static bool place_task(struct rp_services *s, struct rp_job *job, uint32_t task,
+                       struct timespec now) {
+    struct rp_machine *best = NULL;
+    double best_price = 0;
+    for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+        double price = price_of(s, m, job, now);
+        struct rp_resources all =
+            m->type >= 0 ? s->catalog->types[m->type].capacity : (struct rp_resources){0};
+        if (price < 0 || (best && price >= best_price) ||
+            !rp_picture_may_start_over(s->picture, job, task, m, &all))
+            continue;
+        best = m;
+        best_price = price;
+    }
+    if (!best)
+        return false;
+    make_room(s, best, job, now);
+    rp_place_add(s->picture, best, job, task, rp_picture_attempt(s->picture), RP_PLACE_PLANNED);
+    s->n_placed++;
+    return true;
+}
+
+/* ---- what arrives ---- */
+
+static void note_arrival(struct rp_services *s, const struct rp_job *job, struct timespec now) {
+    struct rp_service_flow *f = &s->flow;
+    double cpus = job->spec.n_tasks * job->spec.each.cpus;
+    double decay = rp_ts_zero(f->at) ? 0 : exp(-rp_ts_since(now, f->at) / FLOW_S);
+    f->cpus_per_s = f->cpus_per_s * decay + cpus / FLOW_S;
+    f->largest = fmax(f->largest * decay, cpus);
+    f->at = now;
+}
+
+static double longest_boot_s(const struct rp_catalog *c) {
+    double boot = 0;
+    for (size_t t = 0; t < c->n_types; t++)
+        if (c->types[t].capacity.gpus <= 0)
+            boot = fmax(boot, c->types[t].boot_s);
+    return boot;
+}
+
+double rp_services_reserve_cpus(const struct rp_services *s) {
+    const struct rp_service_flow *f = &s->flow;
+    if (rp_ts_zero(f->at))
+        return 0;
+    double decay = exp(-rp_ts_since(rp_loop_now(s->loop), f->at) / FLOW_S);
+    double arriving = f->cpus_per_s * longest_boot_s(s->catalog);
+    return s->settings->tuning.service_reserve * (arriving + f->largest) * decay;
+}
+
+double rp_services_ready_cpus(const struct rp_services *s, const struct rp_machine *without) {
+    double cpus = 0;
+    for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
+        if (m == without || m->type < 0 || m->spot || m->emptied ||
+            s->catalog->types[m->type].capacity.gpus > 0)
+            continue;
+        if (m->state == RP_MACHINE_BOOTING)
+            cpus += s->catalog->types[m->type].capacity.cpus;
+        if (!rp_machine_usable(m))
+            continue;
+        double room = rp_machine_free(s->picture, m).cpus;
+        for (size_t i = 0; i < m->n_places; i++) {
+            const struct rp_place *place = &m->places[i];
+            if (place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
+                place->job->spec.priority < RP_PRODUCTION)
+                room += place->job->spec.each.cpus;
+        }
+        cpus += fmax(0, room);
+    }
+    return cpus;
+}
+
+/* ---- placing ---- */
+
+/* A replica to be started, or one to be stopped, so that it starts elsewhere, that wasn't told yet.
+ */
+static bool to_send(const struct rp_place *place) {
+    return place->job->spec.kind == RP_SERVICE &&
+           (place->state == RP_PLACE_PLANNED || (going(place) && rp_ts_zero(place->stop_sent)));
+}
+
+void rp_services_send(struct rp_services *s) {
+    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++)
+            if (to_send(&m->places[i])) {
+                rp_workers_direct(s->workers, m);
+                break;
+            }
+}
+
+static void place_job(struct rp_services *s, struct rp_job *job, struct timespec now) {
+    if (!rp_picture_job_settled(s->picture, job))
+        return;
+    for (uint32_t task = 0; task < job->spec.n_tasks; task++)
+        if (rp_job_places(job, task) == 0 && !place_task(s, job, task, now))
+            return;
+}
+
+void rp_services_run(struct rp_services *s) {
+    struct timespec now = rp_loop_now(s->loop);
+    uint64_t newest = s->counted;
+    if (s->jobs->n_services == 0 || !rp_fleet_news_fresh(s->jobs))
+        return;
+    for (struct rp_job *job = s->jobs->first; job; job = job->next) {
+        if (job->spec.kind != RP_SERVICE || job->state != RP_JOB_OPEN)
+            continue;
+        if (job->created > s->counted)
+            note_arrival(s, job, now);
+        newest = job->created > newest ? job->created : newest;
+        if (job->n_counted < job->spec.n_tasks && rp_ts_reached(now, job->held_until))
+            place_job(s, job, now);
+    }
+    s->counted = newest;
+    rp_services_send(s);
+}
+
+/* ---- machines that fall silent with replicas on them ---- */
+
+static bool holds_replicas(const struct rp_machine *m) {
+    for (size_t i = 0; i < m->n_places; i++)
+        if (m->places[i].state != RP_PLACE_EXITED && m->places[i].job->spec.kind == RP_SERVICE)
+            return true;
+    return false;
+}
+
+static bool few_silent(const struct rp_services *s, struct timespec now) {
+    size_t known = 0, silent = 0;
+    for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
+        if (m->session == 0 || m->state == RP_MACHINE_RETURNING)
+            continue;
+        known++;
+        silent += !fresh(s, m, now);
+    }
+    return (double)silent <= GONE_SHARE * (double)known;
+}
+
+/* A machine that hangs or has died takes its replicas with it, and nobody may start them elsewhere
+ * before its lease is over, unless it is certainly gone: the cloud's answer to its deletion makes
+ * that certain within a moment. So one that neither reports nor answers questions is given back.
+ * Not where many are silent: then it is the network, behind which they go on. */
+static void watch_machine(struct rp_services *s, struct rp_machine *m, bool few,
+                          struct timespec now) {
+    if (m->state != RP_MACHINE_UP || !holds_replicas(m))
+        return;
+    if (fresh(s, m, now)) {
+        m->probes_failed = 0;
+        return;
+    }
+    if (m->probes_failed >= PROBES && few && !rp_fleet_zone_out(s->fleet, m->zone) &&
+        rp_ts_since(now, s->fleet->led_since) > s->settings->report_s * 1.25 + LED_S)
+        rp_fleet_return(s->fleet, m, "silent, and replicas wait for it");
+    else
+        rp_workers_probe(s->workers, m);
+}
+
+static void watch_due(void *arg) {
+    struct rp_services *s = arg;
+    struct timespec now = rp_loop_now(s->loop);
+    rp_timer_set(s->loop, &s->watch, WATCH_S);
+    if (s->jobs->n_services == 0 || !rp_election_valid(s->workers->election, now))
+        return;
+    bool few = few_silent(s, now);
+    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+        watch_machine(s, m, few, now);
+    rp_services_run(s);
+}
--- a/src/wire.c
+++ b/src/wire.c
@@ -326,6 +326,12 @@
                           commands_json(commands, n)));
 }
 
+char *rp_wire_direct(uint64_t token, uint64_t session, const struct rp_command *commands,
+                     size_t n) {
+    return dump(json_pack("{s:I,s:I,s:o}", "warrant", (json_int_t)token, "stint",
+                          (json_int_t)session, "signals", commands_json(commands, n)));
+}
+
 char *rp_wire_not_here(const char *leader) {
     return dump(leader ? json_pack("{s:s}", "foreman", leader) : json_object());
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -9,6 +9,8 @@
 #define RP_PATH_JOBS "/v1/jobs"
 #define RP_PATH_HEALTH "/healthz"
 #define RP_PATH_REPORT "/checkin"
+#define RP_PATH_DIRECT "/do"
+#define RP_PATH_SHOW "/show"
 #define RP_PATH_TYPES "/catalog"
 #define RP_PATH_MACHINES "/machines"
 #define RP_PATH_DELETE "/machines/release"
@@ -34,6 +36,7 @@
 bool rp_wire_report(const char *body, size_t len, struct rp_report *out);
 void rp_report_free(struct rp_report *report);
 char *rp_wire_report_answer(uint64_t token, const struct rp_command *commands, size_t n);
+char *rp_wire_direct(uint64_t token, uint64_t session, const struct rp_command *commands, size_t n);
 /* `leader` NULL: none known. */
 char *rp_wire_not_here(const char *leader);
 
--- a/src/workers.c
+++ b/src/workers.c
@@ -16,11 +16,18 @@
 #define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
+#define DIRECT_S 1.0          /* for the answer to a direct command */
+#define DIRECT_KEPT 32        /* ended attempts started directly that a machine may have to keep */
+#define REPLICA_STEADY_S 30.0 /* a replica that ran for so long has not failed at its start */
+#define REPLICA_PAUSE_S 0.5
+#define REPLICA_PAUSE_MAX_S 30.0
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                     const struct rp_settings *settings, struct rp_metrics *metrics) {
+                     const struct rp_settings *settings, struct rp_metrics *metrics,
+                     struct rp_net net) {
     memset(w, 0, sizeof *w);
+    w->net = net;
     w->metrics = metrics;
     w->loop = loop;
     w->election = election;
@@ -69,14 +76,21 @@
         rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
 }
 
+/* Whether it is the first error of the job there. */
+static bool blame_once(struct rp_job *job, const struct rp_machine *m) {
+    for (unsigned i = 0; i < job->n_error_on; i++)
+        if (strcmp(job->error_on[i], m->name) == 0)
+            return false;
+    if (job->n_error_on < RP_JOB_ERRORS_KEPT)
+        strcpy(job->error_on[job->n_error_on++], m->name);
+    return true;
+}
+
+static void blame_machine(struct rp_workers *w, struct rp_machine *m, const struct rp_job *job);
+
 static void blame(struct rp_workers *w, struct rp_machine *m, struct rp_job *job) {
     struct timespec now = rp_loop_now(w->loop);
-    unsigned kept = job->n_error_on < RP_JOB_ERRORS_KEPT ? job->n_error_on : RP_JOB_ERRORS_KEPT;
-    bool seen = false;
-    for (unsigned i = 0; i < kept; i++)
-        seen |= strcmp(job->error_on[i], m->name) == 0;
-    if (!seen && job->n_error_on < RP_JOB_ERRORS_KEPT)
-        strcpy(job->error_on[job->n_error_on++], m->name);
+    (void)blame_once(job, m);
     /* A job that fails on several machines is at fault itself: it is tried ever more rarely, and
      * the machines are not blamed for it. */
     if (job->n_error_on >= RP_JOB_ERRORS_KEPT) {
@@ -84,6 +98,10 @@
         return;
     }
     job->held_until = rp_ts_after(now, 0.5);
+    blame_machine(w, m, job);
+}
+
+static void blame_machine(struct rp_workers *w, struct rp_machine *m, const struct rp_job *job) {
     m->errors_row++;
     if (m->errors_row >= w->settings->tuning.faulty_after && !m->faulty) {
         rp_info("machine %s is faulty: errors=%u, last job=%s", m->name, m->errors_row,
@@ -100,12 +118,38 @@
     }
 }
 
+/* A replica that ended by itself runs again elsewhere at once. One that ended soon after its start
+ * speaks against the machine first; once replicas of the job have ended so on several machines it
+ * is the job's own fault, and the pauses grow, so that a bad image costs little. */
+static void replica_ended(struct rp_workers *w, struct rp_machine *m,
+                          const struct rp_place *place) {
+    struct rp_job *job = place->job;
+    struct timespec now = rp_loop_now(w->loop);
+    if (place->stop || (place->why != RP_EXIT_DONE && place->why != RP_EXIT_ERROR))
+        return;
+    if (!rp_ts_zero(place->running) && rp_ts_since(now, place->running) > REPLICA_STEADY_S) {
+        job->ends_row = job->n_error_on = 0;
+        return;
+    }
+    unsigned before = job->n_error_on;
+    bool held = !rp_ts_reached(now, job->held_until);
+    if (!blame_once(job, m) && held)
+        return;
+    if (job->n_error_on < RP_JOB_ERRORS_KEPT && place->why == RP_EXIT_ERROR)
+        blame_machine(w, m, job);
+    job->ends_row++;
+    double pause = before == 0 ? 0 : ldexp(REPLICA_PAUSE_S, (int)fmin(job->ends_row, 8) - 2);
+    job->held_until = rp_ts_after(now, fmin(pause, REPLICA_PAUSE_MAX_S));
+}
+
 static void task_exited(struct rp_workers *w, struct rp_machine *m, struct rp_place *place) {
     struct rp_job *job = place->job;
     struct timespec now = rp_loop_now(w->loop);
     bool ran = place->running.tv_sec != 0;
     rp_debug("task %s/%u attempt=%llu exited on %s why=%d", job->spec.id, place->task,
              (unsigned long long)place->attempt, m->name, (int)place->why);
+    if (job->spec.kind == RP_SERVICE)
+        replica_ended(w, m, place);
     switch (place->why) {
     case RP_EXIT_DONE:
         m->errors_row = 0;
@@ -114,7 +158,8 @@
         rp_jobs_task_done(w->jobs, job, place->task);
         break;
     case RP_EXIT_ERROR:
-        blame(w, m, job);
+        if (job->spec.kind != RP_SERVICE)
+            blame(w, m, job);
         break;
     case RP_EXIT_NO_ROOM:
     case RP_EXIT_BUSY:
@@ -141,6 +186,7 @@
         place = rp_place_add(w->picture, m, job, t->task, t->attempt, RP_PLACE_SEEN);
     }
     place->marked = true;
+    place->seen_seq = m->seq;
     if (place->state == RP_PLACE_EXITED)
         return;
     if (t->state == RP_TASK_EXITED) {
@@ -183,7 +229,9 @@
      * a good machine came later than 4 s after the one before, and a quarter of a large fleet stood
      * idle as deaf. One that got no answer asks another node first: by then 6 s are over. */
     double limit = fmax(ANSWER_WAIT_S, w->settings->report_s * 1.25 + REPORT_SLACK_S);
-    bool follows = r->session == m->session && r->seq == m->seq + 1 &&
+    /* Answers to direct commands have numbers of their own in between. */
+    bool follows = r->session == m->session && r->seq > m->report_seq &&
+                   r->seq <= m->report_seq + 1 + m->n_direct &&
                    rp_ts_since(now, m->last_report) < limit;
     if (first || follows) {
         if (rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > ANSWER_WAIT_S)
@@ -196,12 +244,16 @@
 }
 
 /* What the newest report doesn't name is not there: a start in an older answer was dropped, since
- * a worker has one report in flight and never executes an answer it has stopped waiting for. */
+ * a worker has one report in flight and never executes an answer it has stopped waiting for. A
+ * start sent directly may still arrive: only its own answer, or being listed, settles it; and what
+ * a newer answer to a direct command has listed is there, whatever an older report says. */
 static void settle_missing(struct rp_workers *w, struct rp_machine *m, uint64_t seq) {
     for (size_t i = m->n_places; i-- > 0;) {
         struct rp_place *place = &m->places[i];
         bool in_flight = place->state == RP_PLACE_SENT && place->sent_seq >= seq;
-        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight)
+        bool may_arrive = place->state == RP_PLACE_SENT && place->direct;
+        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight && !may_arrive &&
+            place->seen_seq < seq)
             rp_place_drop(w->picture, m, i);
     }
 }
@@ -227,6 +279,8 @@
                                 spec->checkpoint_s > 0 && !idle ? grace : 0);
         else if (place->state == RP_PLACE_PLANNED)
             rp_place_drop(w->picture, m, i);
+        else if (spec->kind == RP_SERVICE)
+            rp_place_stop(place, 0); /* so it runs elsewhere sooner than when the machine goes */
         else if (idle)
             rp_place_stop(place, 0);
         else if (spec->checkpoint_s > 0)
@@ -234,20 +288,39 @@
     }
 }
 
+/* A report that was on its way while an answer to a direct command came: what it lists is older
+ * than what is known; it still settles starts in earlier reports' answers. */
+static void mark_listed(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
+    for (size_t i = 0; i < r->n_tasks; i++) {
+        struct rp_job *job = rp_jobs_find(w->jobs, r->tasks[i].job);
+        struct rp_place *place =
+            job ? find_place(m, job, r->tasks[i].task, r->tasks[i].attempt) : NULL;
+        if (place)
+            place->marked = true;
+    }
+}
+
 static void read_report(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
     note_hearing(w, m, r);
     if (r->session > m->session && m->session > 0)
         rp_machine_session_over(w->picture, m);
+    bool behind = r->session == m->session && r->seq < m->seq;
     m->session = r->session;
-    m->seq = r->seq;
-    m->last_report = rp_loop_now(w->loop);
+    m->report_seq = r->seq;
+    m->n_direct = 0;
+    m->last_report = m->last_heard = rp_loop_now(w->loop);
     strcpy(m->addr, r->addr);
     rp_machine_note_token(w->picture, m, r->token == w->election->token);
-    rp_machine_clear_foreign(w->picture, m);
     for (size_t i = 0; i < m->n_places; i++)
         m->places[i].marked = false;
-    for (size_t i = 0; i < r->n_tasks; i++)
-        read_task(w, m, &r->tasks[i]);
+    if (behind) {
+        mark_listed(w, m, r);
+    } else {
+        m->seq = r->seq;
+        rp_machine_clear_foreign(w->picture, m);
+        for (size_t i = 0; i < r->n_tasks; i++)
+            read_task(w, m, &r->tasks[i]);
+    }
     settle_missing(w, m, r->seq);
     take_notice(w, m, r);
     /* Only a report that shows our token proves that no start of an earlier leader is still on
@@ -283,14 +356,24 @@
     }
 }
 
+/* A worker that has forgotten an attempt would begin it anew on a late copy of its start. Starts in
+ * answers to reports have no late copies, direct ones may have; those die with the token, which is
+ * part of the attempt's number, or with the session. */
+static bool may_forget(const struct rp_workers *w, const struct rp_place *place) {
+    if (place->direct && place->attempt >> 32 == w->election->token)
+        return false;
+    /* A result must be durable before the worker may lose it. */
+    return place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task);
+}
+
 /* Stops and removals: they can be repeated and late without harm. */
-static void command_ends(struct batch *b, struct rp_machine *m, struct timespec now) {
+static void command_ends(const struct rp_workers *w, struct batch *b, struct rp_machine *m,
+                         struct timespec now) {
     for (size_t i = 0; i < m->n_places; i++) {
         struct rp_place *place = &m->places[i];
         const char *job = place->job->spec.id;
         if (place->state == RP_PLACE_EXITED) {
-            /* A result must be durable before the worker may lose it. */
-            if (place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task))
+            if (may_forget(w, place))
                 command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
         } else if (place->stop && place->state != RP_PLACE_PLANNED) {
             bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
@@ -298,6 +381,10 @@
                 continue;
             place->stop_sent = now;
             place->job->interrupted = true;
+            /* A direct start that nothing has been heard of may still arrive, after this stop:
+             * started and stopped in one go, its attempt is known there, and over. */
+            if (place->direct && place->state == RP_PLACE_SENT)
+                command(b, RP_OP_START, job, place->task, place->attempt, 0);
             command(b, RP_OP_STOP, job, place->task, place->attempt, place->grace_s);
         }
     }
@@ -309,10 +396,25 @@
            rp_picture_job_settled(w->picture, place->job) && rp_fleet_news_fresh(w->jobs);
 }
 
-static void command_starts(struct rp_workers *w, struct batch *b, struct rp_machine *m) {
+/* A direct start whose answer was lost is said again: the same attempt can't begin twice. */
+static void command_again(struct rp_workers *w, struct batch *b, struct rp_machine *m) {
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        if (place->state != RP_PLACE_SENT || !place->direct || place->direct_open || place->stop)
+            continue;
+        command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
+        if (!start_still_good(w, m, place)) {
+            rp_place_stop(place, 0);
+            command(b, RP_OP_STOP, place->job->spec.id, place->task, place->attempt, 0);
+        }
+    }
+}
+
+static void command_starts(struct rp_workers *w, struct batch *b, struct rp_machine *m,
+                           bool direct) {
     for (size_t i = m->n_places; i-- > 0;) {
         struct rp_place *place = &m->places[i];
-        if (place->state != RP_PLACE_PLANNED)
+        if (place->state != RP_PLACE_PLANNED || (direct && place->job->spec.kind != RP_SERVICE))
             continue;
         if (!start_still_good(w, m, place)) {
             rp_place_drop(w->picture, m, i);
@@ -322,24 +424,28 @@
             return;
         command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
         rp_place_enter(w->picture, m, place, RP_PLACE_SENT);
-        place->sent_seq = m->seq;
+        place->sent_seq = m->report_seq;
+        place->direct = place->direct_open = direct;
         w->n_starts++;
         rp_metrics_add(w->metrics, RP_METRIC_START, rp_job_age_s(place->job, rp_loop_now(w->loop)));
-        rp_debug("start %s/%u attempt=%llu on %s", place->job->spec.id, place->task,
-                 (unsigned long long)place->attempt, m->name);
+        rp_debug("start %s/%u attempt=%llu on %s%s", place->job->spec.id, place->task,
+                 (unsigned long long)place->attempt, m->name, direct ? " directly" : "");
     }
 }
 
-/* Every answer renews the machine's lease: from now on its tasks may live that much longer. */
+/* Every answer renews the machine's lease, which the worker reckons from the sending of its report:
+ * that was before it was received here. */
 static void answer(struct rp_workers *w, struct rp_request *req, struct rp_machine *m,
-                   const struct batch *b) {
+                   const struct batch *b, struct timespec received) {
     struct timespec now = rp_loop_now(w->loop);
     if (!rp_election_valid(w->election, now)) {
         not_here(w, req);
         return;
     }
     if (m) {
-        m->held_until = rp_ts_after(now, rp_workers_lease_s(w->settings));
+        struct timespec held = rp_ts_after(received, rp_workers_lease_s(w->settings));
+        if (rp_ts_cmp(held, m->held_until) > 0)
+            m->held_until = held;
         m->last_answer = now;
         if (rp_ts_zero(m->first_answer))
             m->first_answer = now;
@@ -384,8 +490,8 @@
     }
 }
 
-static void answer_with_commands(struct rp_workers *w, struct rp_request *req,
-                                 struct rp_machine *m) {
+static void answer_with_commands(struct rp_workers *w, struct rp_request *req, struct rp_machine *m,
+                                 struct timespec received) {
     struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
     if (!b.list) {
         respond(req, 503, NULL);
@@ -393,10 +499,11 @@
     }
     if (m->token_seen) {
         command_foreign(&b, m);
-        command_ends(&b, m, rp_loop_now(w->loop));
-        command_starts(w, &b, m);
+        command_ends(w, &b, m, rp_loop_now(w->loop));
+        command_again(w, &b, m);
+        command_starts(w, &b, m, false);
     }
-    answer(w, req, m, &b);
+    answer(w, req, m, &b, received);
     free(b.list);
 }
 
@@ -421,14 +528,16 @@
         w->cap_held = cap;
     }
     struct rp_held_report *h = &w->held[w->n_held++];
-    *h = (struct rp_held_report){.req = req, .session = m->session, .seq = m->seq};
+    *h = (struct rp_held_report){
+        .req = req, .session = m->session, .seq = m->report_seq, .received = rp_loop_now(w->loop)};
     strcpy(h->machine, m->name);
 }
 
 static void handle(struct rp_workers *w, struct rp_request *req, const struct rp_report *r) {
     struct rp_machine *m = machine_of(w, r);
+    struct timespec received = rp_loop_now(w->loop);
     if (!m) {
-        answer(w, req, NULL, NULL);
+        answer(w, req, NULL, NULL, received);
         return;
     }
     if (m->state == RP_MACHINE_LOST && m->lost_session > 0 && r->session == m->lost_session) {
@@ -442,10 +551,10 @@
          * the reports of all machines that were cut off during a takeover were refused until they
          * had gone back.) */
         take_results(w, m, r);
-        answer(w, req, m, NULL);
+        answer(w, req, m, NULL, received);
         return;
     }
-    bool old = r->session < m->session || (r->session == m->session && r->seq <= m->seq);
+    bool old = r->session < m->session || (r->session == m->session && r->seq <= m->report_seq);
     if (old) {
         /* A copy, late by seconds or by many leases: it proves nothing, and its answer renews no
          * lease, for nobody waits for it. */
@@ -463,14 +572,14 @@
         return;
     }
     if (m->state == RP_MACHINE_RETURNING) {
-        answer(w, req, m, NULL);
+        answer(w, req, m, NULL, received);
         return;
     }
     bool news = busy_places(m) < busy || !was_up;
     if (news && w->on_room && !w->on_room(w->arg))
         hold(w, req, m);
     else
-        answer_with_commands(w, req, m);
+        answer_with_commands(w, req, m, received);
 }
 
 void rp_workers_answer_held(struct rp_workers *w) {
@@ -482,16 +591,177 @@
         struct rp_machine *m = w->ready ? rp_machine_find(w->picture, held[i].machine) : NULL;
         if (!w->ready)
             not_here(w, held[i].req);
-        else if (!m || m->session != held[i].session || m->seq != held[i].seq)
+        else if (!m || m->session != held[i].session || m->report_seq != held[i].seq)
             respond(held[i].req, 503, rp_wire_error("a newer report is known"));
         else if (m->state == RP_MACHINE_LOST || m->state == RP_MACHINE_RETURNING)
             respond(held[i].req, 503, rp_wire_error("this machine goes back"));
         else
-            answer_with_commands(w, held[i].req, m);
+            answer_with_commands(w, held[i].req, m, held[i].received);
     }
     free(held);
 }
 
+/* ---- direct commands ---- */
+
+struct direct {
+    struct rp_workers *w;
+    uint64_t token, session;
+    char machine[RP_TEXT_MAX];
+    uint64_t *attempts; /* started by it */
+    size_t n;
+};
+
+static struct direct *direct_new(struct rp_workers *w, const struct rp_machine *m, size_t n) {
+    struct direct *d = calloc(1, sizeof *d);
+    if (!d)
+        abort(); /* out of memory: a restart is the honest answer */
+    d->attempts = calloc(n + 1, sizeof *d->attempts);
+    if (!d->attempts)
+        abort();
+    d->w = w;
+    d->token = w->election->token;
+    d->session = m->session;
+    strcpy(d->machine, m->name);
+    return d;
+}
+
+static void direct_free(struct direct *d) {
+    free(d->attempts);
+    free(d);
+}
+
+/* The machine that was asked, if it still is in the same session under the same leader. */
+static struct rp_machine *direct_machine(const struct direct *d) {
+    struct rp_machine *m =
+        d->w->election->token == d->token ? rp_machine_find(d->w->picture, d->machine) : NULL;
+    return m && m->session == d->session ? m : NULL;
+}
+
+/* Takes in what the machine lists, if nothing newer is known. Nothing is concluded from what it
+ * doesn't list, and no lease is renewed. */
+static void take_listing(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
+    m->last_heard = rp_loop_now(w->loop);
+    if (r->session != m->session || r->seq <= m->seq)
+        return;
+    m->seq = r->seq;
+    for (size_t i = 0; i < r->n_tasks; i++) {
+        const struct rp_task_report *t = &r->tasks[i];
+        struct rp_job *job = rp_jobs_find(w->jobs, t->job);
+        /* What this leader hasn't started, reports tell of. */
+        if (job && t->task < job->spec.n_tasks && find_place(m, job, t->task, t->attempt))
+            read_task(w, m, t);
+    }
+}
+
+/* What became of the starts that the command carried. */
+static void settle_direct(struct direct *d, struct rp_machine *m, int status) {
+    for (size_t i = m->n_places; i-- > 0;) {
+        struct rp_place *place = &m->places[i];
+        bool mine = false;
+        for (size_t k = 0; k < d->n; k++)
+            mine |= place->attempt == d->attempts[k];
+        if (!mine)
+            continue;
+        place->direct_open = false;
+        /* Refused whole. (Carried out, it is listed: in this answer, or in a newer report that
+         * came before it. Without an answer it may still arrive.) */
+        if (place->state == RP_PLACE_SENT && status == 409)
+            rp_place_drop(d->w->picture, m, i);
+    }
+}
+
+static void direct_answered(void *arg, const struct rp_answer *a) {
+    struct direct *d = arg;
+    struct rp_workers *w = d->w;
+    struct rp_machine *m = direct_machine(d);
+    struct rp_report r;
+    bool read = m && (a->status == 200 || a->status == 409) && rp_wire_report(a->body, a->len, &r);
+    if (!m)
+        goto out;
+    w->n_direct_lost += !read;
+    size_t busy = busy_places(m);
+    if (read) {
+        if (r.token > w->election->token)
+            rp_election_doubt(w->election);
+        take_listing(w, m, &r);
+        rp_report_free(&r);
+    }
+    settle_direct(d, m, read ? a->status : 0);
+    if (busy_places(m) < busy && w->on_room)
+        w->on_room(w->arg);
+out:
+    direct_free(d);
+}
+
+static size_t kept_known(const struct rp_machine *m) {
+    size_t n = 0;
+    for (size_t i = 0; i < m->n_places; i++)
+        n += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
+    return n;
+}
+
+static void note_attempts(struct direct *d, const struct batch *b) {
+    for (size_t i = 0; i < b->n; i++)
+        if (b->list[i].op == RP_OP_START)
+            d->attempts[d->n++] = b->list[i].attempt;
+}
+
+void rp_workers_direct(struct rp_workers *w, struct rp_machine *m) {
+    struct timespec now = rp_loop_now(w->loop);
+    struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
+    /* Else it goes with the answer to the next report. */
+    if (!b.list || !rp_machine_usable(m) || !*m->addr || kept_known(m) >= DIRECT_KEPT ||
+        !rp_election_valid(w->election, now))
+        goto out;
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        if (place->stop && place->grace_s <= 0 && place->state == RP_PLACE_SEEN) {
+            place->job->interrupted = true;
+            place->stop_sent = now;
+            command(&b, RP_OP_STOP, place->job->spec.id, place->task, place->attempt, 0);
+        }
+    }
+    command_starts(w, &b, m, true);
+    if (b.n == 0)
+        goto out;
+    struct direct *d = direct_new(w, m, b.n);
+    note_attempts(d, &b);
+    char *body = rp_wire_direct(w->election->token, m->session, b.list, b.n);
+    m->n_direct++;
+    w->n_direct++;
+    w->net.call(w->net.ctx, m->addr, "POST", RP_PATH_DIRECT, body, DIRECT_S, direct_answered, d);
+    free(body);
+out:
+    free(b.list);
+}
+
+static void probe_answered(void *arg, const struct rp_answer *a) {
+    struct direct *d = arg;
+    struct rp_machine *m = direct_machine(d);
+    struct rp_report r;
+    if (!m)
+        goto out;
+    m->probing = false;
+    m->probes_failed++;
+    if (a->status != 200 || !rp_wire_report(a->body, a->len, &r))
+        goto out;
+    m->probes_failed = 0;
+    take_listing(d->w, m, &r);
+    rp_report_free(&r);
+out:
+    direct_free(d);
+}
+
+void rp_workers_probe(struct rp_workers *w, struct rp_machine *m) {
+    if (m->probing || !*m->addr)
+        return;
+    m->probing = true;
+    m->probed = rp_loop_now(w->loop);
+    m->n_direct++;
+    w->net.call(w->net.ctx, m->addr, "GET", RP_PATH_SHOW, NULL, DIRECT_S, probe_answered,
+                direct_new(w, m, 0));
+}
+
 void rp_workers_close(struct rp_workers *w) {
     free(w->held);
     w->held = NULL;
--- a/src/workers.h
+++ b/src/workers.h
@@ -11,6 +11,7 @@
     struct rp_request *req;
     char machine[RP_TEXT_MAX];
     uint64_t session, seq;
+    struct timespec received;
 };
 
 struct rp_workers {
@@ -21,6 +22,8 @@
     struct rp_fleet *fleet;
     const struct rp_settings *settings;
     struct rp_metrics *metrics;
+    struct rp_net net;
+    unsigned long n_direct, n_direct_lost;
     bool ready; /* the records are loaded */
     /* Room became free. False: a round comes within a moment, and answers wait for it. */
     bool (*on_room)(void *arg);
@@ -33,8 +36,14 @@
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
-                     const struct rp_settings *settings, struct rp_metrics *metrics);
+                     const struct rp_settings *settings, struct rp_metrics *metrics,
+                     struct rp_net net);
 void rp_workers_report(struct rp_workers *w, struct rp_request *req);
+/* Sends the machine at once, not with the answer to its next report, what room for services takes:
+ * stops that give no time to save, then the starts of replicas. */
+void rp_workers_direct(struct rp_workers *w, struct rp_machine *m);
+/* Asks a machine that has been silent whether it is there. */
+void rp_workers_probe(struct rp_workers *w, struct rp_machine *m);
 /* A round has been run, or none will be: the reports that waited for it are answered. */
 void rp_workers_answer_held(struct rp_workers *w);
 /* Forgets them unanswered: the process ends. */
