--- a/src/http.c
+++ b/src/http.c
@@ -429,6 +429,7 @@
     struct http_line *line;
     char *text;
     size_t len;
+    bool once; /* on a connection of its own */
     rp_answer_fn fn;
     void *arg;
 };
@@ -514,7 +515,7 @@
 }
 
 static void line_fail(struct http_line *l) {
-    static const struct rp_answer none = {.status = 0, .body = ""};
+    const struct rp_answer none = {.unsent = l->state == LINE_CONNECTING, .body = ""};
     struct rp_http_host *h = l->host;
     struct rp_http_call *call = l->call;
     line_enter(l, LINE_CLOSED);
@@ -527,7 +528,7 @@
 
 static void call_timeout(void *arg) {
     struct rp_http_call *call = arg;
-    static const struct rp_answer none = {.status = 0, .body = ""};
+    static const struct rp_answer none = {.unsent = true, .body = ""};
     if (call->line) {
         line_fail(call->line); /* an answer may still come on it: never used again */
         return;
@@ -544,7 +545,7 @@
                                .body = parser.body ? parser.body : "",
                                .len = parser.body_len,
                                .retry_after = parser.retry_after};
-    bool ends = parser.close;
+    bool ends = parser.close || call->once;
     l->call = NULL;
     l->parser.body = NULL;
     l->parser.body_len = l->parser.body_cap = 0;
@@ -646,7 +647,7 @@
 static void host_serve(struct rp_http_host *h) {
     struct rp_http_client *c = h->client;
     while (h->first) {
-        struct http_line *l = h->lines;
+        struct http_line *l = h->first->once ? NULL : h->lines;
         while (l && !(l->state == LINE_IDLE && !l->call))
             l = l->next;
         bool fresh = !l;
@@ -711,20 +712,21 @@
 
 static void dead_call_due(void *arg) {
     struct dead_call *dead = arg;
-    static const struct rp_answer none = {.status = 0, .body = ""};
+    static const struct rp_answer none = {.unsent = true, .body = ""};
     dead->fn(dead->arg, &none);
     free(dead);
 }
 
-static void client_call(void *ctx, const char *addr, const char *method, const char *target,
-                        const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
-    struct rp_http_client *c = ctx;
+static void call_start(struct rp_http_client *c, bool once, const char *addr, const char *method,
+                       const char *target, const char *body, double timeout_s, rp_answer_fn fn,
+                       void *arg) {
     struct rp_http_host *h = client_host(c, addr);
     struct rp_http_call *call = h ? calloc(1, sizeof *call) : NULL;
     int n = call ? asprintf(&call->text,
-                            "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: "
+                            "%s %s HTTP/1.1\r\nHost: %s\r\n%sContent-Type: "
                             "application/json\r\nContent-Length: %zu\r\n\r\n%s",
-                            method, target, addr, body ? strlen(body) : 0, body ? body : "")
+                            method, target, addr, once ? "Connection: close\r\n" : "",
+                            body ? strlen(body) : 0, body ? body : "")
                  : -1;
     if (n < 0) {
         struct dead_call *dead = calloc(1, sizeof *dead);
@@ -737,6 +739,7 @@
         return;
     }
     call->len = (size_t)n;
+    call->once = once;
     call->host = h;
     call->fn = fn;
     call->arg = arg;
@@ -750,6 +753,16 @@
     host_serve(h);
 }
 
+static void client_call(void *ctx, const char *addr, const char *method, const char *target,
+                        const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    call_start(ctx, false, addr, method, target, body, timeout_s, fn, arg);
+}
+
+static void client_call_once(void *ctx, const char *addr, const char *method, const char *target,
+                             const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    call_start(ctx, true, addr, method, target, body, timeout_s, fn, arg);
+}
+
 void rp_http_client_close(struct rp_http_client *c) {
     while (c->hosts) {
         struct rp_http_host *h = c->hosts;
@@ -770,5 +783,5 @@
 }
 
 struct rp_net rp_http_client_net(struct rp_http_client *c) {
-    return (struct rp_net){.ctx = c, .call = client_call};
+    return (struct rp_net){.ctx = c, .call = client_call, .call_once = client_call_once};
 }
--- a/src/picture.h
+++ b/src/picture.h
@@ -73,6 +73,7 @@
     uint64_t seq;        /* of its newest message: a report or the answer to a direct command */
     uint64_t report_seq; /* of its newest report */
     unsigned n_direct;   /* direct commands and questions sent since then */
+    bool unreached;      /* a direct command found no way to it, and nothing has come since */
     bool probing;        /* it is being asked whether it is there */
     unsigned probes_failed;
     struct timespec probed;
--- a/src/room.c
+++ b/src/room.c
@@ -16,6 +16,7 @@
 #define GATHER_SLACK_S 6  /* run times are estimates */
 #define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
+#define MOVE_AGAIN_S 60   /* a replica that came so recently isn't moved again */
 #define STAYS_S 300       /* how much longer a replica is expected to be wanted */
 
 /* A gang of one task that has room made for it by priority doesn't need it kept. */
@@ -423,7 +424,9 @@
     const struct rp_job_spec *spec = &place->job->spec;
     bool keeps = spec->kind == RP_SERVICE || (spec->checkpoint_s > 0 && spec->kind == RP_ARRAY);
     return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
-           keeps && rp_ts_since(now, place->running) > START_COUNTS_S;
+           keeps &&
+           rp_ts_since(now, place->running) >
+               (spec->kind == RP_SERVICE ? MOVE_AGAIN_S : START_COUNTS_S);
 }
 
 /* Until the place is free by itself. */
--- a/src/services.c
+++ b/src/services.c
@@ -164,7 +164,8 @@
 }
 
 static bool fresh(const struct rp_services *s, const struct rp_machine *m, struct timespec now) {
-    return rp_ts_since(now, m->last_heard) < 1.25 * s->settings->report_s + SILENT_SLACK_S;
+    return !m->unreached &&
+           rp_ts_since(now, m->last_heard) < 1.25 * s->settings->report_s + SILENT_SLACK_S;
 }
 
 /* Its room is kept for a gang. */
--- a/src/workers.c
+++ b/src/workers.c
@@ -17,7 +17,7 @@
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
 #define DIRECT_S 1.0          /* for the answer to a direct command */
-#define DIRECT_KEPT 32        /* ended attempts started directly that a machine may have to keep */
+#define DIRECT_KEPT 64        /* ended attempts started directly that a machine may have to keep */
 #define REPLICA_STEADY_S 30.0 /* a replica that ran for so long has not failed at its start */
 #define REPLICA_PAUSE_S 0.5
 #define REPLICA_PAUSE_MAX_S 30.0
@@ -309,6 +309,7 @@
     m->report_seq = r->seq;
     m->n_direct = 0;
     m->last_report = m->last_heard = rp_loop_now(w->loop);
+    m->unreached = false;
     strcpy(m->addr, r->addr);
     rp_machine_note_token(w->picture, m, r->token == w->election->token);
     for (size_t i = 0; i < m->n_places; i++)
@@ -654,7 +655,7 @@
 }
 
 /* What became of the starts that the command carried. */
-static void settle_direct(struct direct *d, struct rp_machine *m, int status) {
+static void settle_direct(struct direct *d, struct rp_machine *m, bool refused) {
     for (size_t i = m->n_places; i-- > 0;) {
         struct rp_place *place = &m->places[i];
         bool mine = false;
@@ -663,9 +664,9 @@
         if (!mine)
             continue;
         place->direct_open = false;
-        /* Refused whole. (Carried out, it is listed: in this answer, or in a newer report that
-         * came before it. Without an answer it may still arrive.) */
-        if (place->state == RP_PLACE_SENT && status == 409)
+        /* Refused whole, or never sent. (Carried out, it is listed: in this answer, or in a newer
+         * report that came before it. Without an answer it may still arrive.) */
+        if (place->state == RP_PLACE_SENT && refused)
             rp_place_drop(d->w->picture, m, i);
     }
 }
@@ -686,8 +687,9 @@
         take_listing(w, m, &r);
         rp_report_free(&r);
     }
-    settle_direct(d, m, read ? a->status : 0);
-    if (busy_places(m) < busy && w->on_room)
+    settle_direct(d, m, a->unsent || (read && a->status == 409));
+    m->unreached = a->unsent;
+    if ((busy_places(m) < busy || a->unsent) && w->on_room)
         w->on_room(w->arg);
 out:
     direct_free(d);
@@ -729,7 +731,8 @@
     char *body = rp_wire_direct(w->election->token, m->session, b.list, b.n);
     m->n_direct++;
     w->n_direct++;
-    w->net.call(w->net.ctx, m->addr, "POST", RP_PATH_DIRECT, body, DIRECT_S, direct_answered, d);
+    w->net.call_once(w->net.ctx, m->addr, "POST", RP_PATH_DIRECT, body, DIRECT_S, direct_answered,
+                     d);
     free(body);
 out:
     free(b.list);
@@ -758,8 +761,8 @@
     m->probing = true;
     m->probed = rp_loop_now(w->loop);
     m->n_direct++;
-    w->net.call(w->net.ctx, m->addr, "GET", RP_PATH_SHOW, NULL, DIRECT_S, probe_answered,
-                direct_new(w, m, 0));
+    w->net.call_once(w->net.ctx, m->addr, "GET", RP_PATH_SHOW, NULL, DIRECT_S, probe_answered,
+                     direct_new(w, m, 0));
 }
 
 void rp_workers_close(struct rp_workers *w) {
