--- a/src/room.c
+++ b/src/room.c
@@ -17,6 +17,8 @@
 #define MEND_WAITS 8      /* gang_wait_s after which a gang that hasn't begun is started anew */
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define MOVE_AGAIN_S 60   /* a replica that came so recently isn't moved again */
+#define MOVE_PART 0.25    /* of a machine that its replicas may hold at most for them to be moved */
+#define MOVE_EVERY_S 20   /* such machines are emptied one after the other */
 #define STAYS_S 300       /* how much longer a replica is expected to be wanted */
 
 /* A gang of one task that has room made for it by priority doesn't need it kept. */
@@ -521,17 +523,24 @@
     if (!rp_machine_usable(m) || rp_machine_idle(m) || m->emptied || type_wanted(x, m->type) ||
         rp_room_reserved_for(r, m))
         return -1;
-    bool ready = rp_round_catalog(r)->types[m->type].capacity.gpus <= 0 && !m->spot;
+    const struct rp_resources *capacity = &rp_round_catalog(r)->types[m->type].capacity;
+    bool ready = capacity->gpus <= 0 && !m->spot;
+    double replicas = 0;
     for (size_t i = 0; i < m->n_places; i++) {
         if (m->places[i].state == RP_PLACE_EXITED)
             continue;
         if (!movable(&m->places[i], now))
             return -1;
         busy = fmax(busy, stays_s(r, m, &m->places[i], now));
+        if (m->places[i].job->spec.kind == RP_SERVICE)
+            replicas += rp_plan_part(&m->places[i].job->spec.each, capacity);
     }
+    /* A move is a moment without the replica, and the machine that it frees costs little. */
+    if (replicas > MOVE_PART ||
+        (replicas > 0 && rp_ts_since(now, r->replicas_moved) < MOVE_EVERY_S))
+        return -1;
     if (ready && rp_services_ready_cpus(r->services, m) <
-                     rp_services_reserve_cpus(r->services) +
-                         rp_round_catalog(r)->types[m->type].capacity.cpus)
+                     rp_services_reserve_cpus(r->services) + capacity->cpus)
         return -1;
     if (busy <= 2 * MOVE_S)
         return -1;
@@ -569,8 +578,11 @@
     m->emptied = true;
     for (size_t i = 0; i < m->n_places; i++) {
         const struct rp_job_spec *spec = &m->places[i].job->spec;
-        if (m->places[i].state != RP_PLACE_EXITED)
-            rp_place_stop(&m->places[i], spec->kind == RP_SERVICE ? 0 : spec->save_s * 1.2 + 1);
+        if (m->places[i].state == RP_PLACE_EXITED)
+            continue;
+        if (spec->kind == RP_SERVICE)
+            r->replicas_moved = now;
+        rp_place_stop(&m->places[i], spec->kind == RP_SERVICE ? 0 : spec->save_s * 1.2 + 1);
     }
 }
 
