--- a/src/picture.c
+++ b/src/picture.c
@@ -250,25 +250,6 @@
     return spec->n_types == 0;
 }
 
-uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job) {
-    double room = RP_TASKS_MAX;
-    if (job->team < 0)
-        return 0;
-    const struct rp_team *team = &p->settings->teams[job->team];
-    const struct rp_resources *each = &job->spec.each;
-    if (team->cpus_max <= 0 && team->gpus_max <= 0)
-        return RP_TASKS_MAX;
-    /* Tasks of jobs that this leader can't know are counted against nobody's limit, so nobody
-     * with a limit starts anything before they are gone. */
-    if (p->n_with_foreign > 0)
-        return 0;
-    if (team->cpus_max > 0 && each->cpus > 0)
-        room = fmin(room, (team->cpus_max - p->team_cpus[job->team] + 1e-9) / each->cpus);
-    if (team->gpus_max > 0 && each->gpus > 0)
-        room = fmin(room, (team->gpus_max - p->team_gpus[job->team] + 1e-9) / each->gpus);
-    return room < 1 ? 0 : (uint32_t)room;
-}
-
 /* What one_zone and spread say of one more task in the zone. */
 static bool zone_fits(const struct rp_job *job, int zone) {
     if (job->spec.one_zone)
@@ -287,20 +268,36 @@
     return m->n_foreign == 0;
 }
 
+struct rp_resources rp_picture_over_quota(const struct rp_picture *p, const struct rp_job *job) {
+    struct rp_resources over = {-1, -1, -1};
+    const struct rp_team *team = job->team >= 0 ? &p->settings->teams[job->team] : NULL;
+    bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
+    /* Tasks of jobs that this leader can't know are counted against nobody's limit, so nobody
+     * with a limit starts anything before they are gone. */
+    if (!team || (limited && p->n_with_foreign > 0))
+        return (struct rp_resources){INFINITY, INFINITY, INFINITY};
+    if (team->cpus_max > 0)
+        over.cpus = p->team_cpus[job->team] + job->spec.each.cpus - team->cpus_max - 1e-9;
+    if (team->gpus_max > 0)
+        over.gpus = p->team_gpus[job->team] + job->spec.each.gpus - team->gpus_max - 1e-9;
+    return over;
+}
+
 bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m) {
-    static const struct rp_resources none = {0};
+    static const struct rp_freed none = {0};
     return rp_picture_may_start_over(p, job, task, m, &none);
 }
 
 bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
-                               const struct rp_machine *m, const struct rp_resources *freed) {
-    struct rp_resources room = rp_machine_free(p, m);
-    rp_resources_add(&room, freed);
+                               const struct rp_machine *m, const struct rp_freed *freed) {
+    struct rp_resources room = rp_machine_free(p, m), over = rp_picture_over_quota(p, job);
+    rp_resources_add(&room, &freed->room);
     return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && rp_job_places(job, task) == 0 &&
            !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_job_settled(p, job) &&
            rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
-           rp_resources_fit(&job->spec.each, &room) && rp_picture_quota_room(p, job) >= 1;
+           rp_resources_fit(&job->spec.each, &room) && over.cpus <= freed->team.cpus &&
+           over.gpus <= freed->team.gpus;
 }
 
 static void count_place(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
--- a/src/picture.h
+++ b/src/picture.h
@@ -162,14 +162,19 @@
                        int zone, bool spot);
 bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m);
-/* The same where `freed` of the machine's room is given back by the very message that starts it. */
+/* What the very message that starts a task gives back before: of the machine's room, and of what
+ * the job's team uses. */
+struct rp_freed {
+    struct rp_resources room, team;
+};
+/* The same with that. */
 bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
-                               const struct rp_machine *m, const struct rp_resources *freed);
+                               const struct rp_machine *m, const struct rp_freed *freed);
+/* How far one more task of the job would be beyond its team's limit; not above 0: it isn't. */
+struct rp_resources rp_picture_over_quota(const struct rp_picture *p, const struct rp_job *job);
 /* Nothing is on the machine, nor may be. What has ended may still be listed: attempts that were
  * started directly are kept known there, so that late copies of their starts do nothing. */
 bool rp_machine_idle(const struct rp_machine *m);
-/* Tasks of the job that its team's limit leaves room for now. */
-uint32_t rp_picture_quota_room(const struct rp_picture *p, const struct rp_job *job);
 struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
                               uint32_t task, uint64_t attempt, enum rp_place_state state);
 /* The one place where a place changes its state; keeps all counts. */
--- a/src/services.c
+++ b/src/services.c
@@ -72,13 +72,45 @@
     return place->state == RP_PLACE_PLANNED ? 0 : 1 + (kept > 0 ? fmin(ran, kept) : ran);
 }
 
-static struct rp_place *cheapest(struct rp_machine *m, const struct rp_job *job, const bool *taken,
-                                 struct timespec now) {
+static void free_place(struct rp_freed *freed, const struct rp_place *place,
+                       const struct rp_job *job) {
+    rp_resources_add(&freed->room, &place->job->spec.each);
+    if (place->job->team == job->team)
+        rp_resources_add(&freed->team, &place->job->spec.each);
+}
+
+/* What stops under way on the machine give back before anything that is started there now. */
+static struct rp_freed freed_already(const struct rp_machine *m, const struct rp_job *job) {
+    struct rp_freed freed = {0};
+    for (size_t i = 0; i < m->n_places; i++)
+        if (going(&m->places[i]))
+            free_place(&freed, &m->places[i], job);
+    return freed;
+}
+
+enum lack { LACK_NOTHING, LACK_ROOM, LACK_QUOTA };
+
+/* What one more task of the job still lacks on the machine. */
+static enum lack lacking(const struct rp_services *s, const struct rp_machine *m,
+                         const struct rp_job *job, const struct rp_freed *freed) {
+    struct rp_resources room = rp_machine_free(s->picture, m);
+    struct rp_resources over = rp_picture_over_quota(s->picture, job);
+    rp_resources_add(&room, &freed->room);
+    if (!rp_resources_fit(&job->spec.each, &room))
+        return LACK_ROOM;
+    bool quota = over.cpus <= freed->team.cpus && over.gpus <= freed->team.gpus;
+    return quota ? LACK_NOTHING : LACK_QUOTA;
+}
+
+/* The place that costs least to take; where the team's limit is in the way, one of its own. */
+static struct rp_place *cheapest(struct rp_machine *m, const struct rp_job *job, enum lack lack,
+                                 const bool *taken, struct timespec now) {
     struct rp_place *best = NULL;
     double best_worth = 0;
     for (size_t i = 0; i < m->n_places; i++) {
         struct rp_place *place = &m->places[i];
-        if ((taken && taken[i]) || !may_go(place, job))
+        if ((taken && taken[i]) || !may_go(place, job) ||
+            (lack == LACK_QUOTA && place->job->team != job->team))
             continue;
         double price = worth(place, now) + 1000.0 * (double)place->job->spec.priority;
         if (!best || price < best_worth) {
@@ -89,51 +121,45 @@
     return best;
 }
 
-static struct rp_resources room_of(const struct rp_services *s, const struct rp_machine *m) {
-    struct rp_resources room = rp_machine_free(s->picture, m);
-    for (size_t i = 0; i < m->n_places; i++)
-        if (going(&m->places[i]))
-            rp_resources_add(&room, &m->places[i].job->spec.each);
-    return room;
-}
-
 #define PLACES_MAX 1024
 
 /* Seconds of work that are lost if the machine makes room for one task; negative: it can't. */
 static double room_price(const struct rp_services *s, struct rp_machine *m,
                          const struct rp_job *job, struct timespec now) {
-    struct rp_resources room = room_of(s, m);
+    struct rp_freed freed = freed_already(m, job);
     bool taken[PLACES_MAX] = {false};
+    enum lack lack = lacking(s, m, job, &freed);
     double price = 0;
-    if (rp_resources_fit(&job->spec.each, &room))
-        return 0;
-    if (!s->settings->tuning.preemption || m->n_places > PLACES_MAX)
+    if (lack != LACK_NOTHING && (!s->settings->tuning.preemption || m->n_places > PLACES_MAX))
         return -1;
-    while (!rp_resources_fit(&job->spec.each, &room)) {
-        struct rp_place *place = cheapest(m, job, taken, now);
+    for (; lack != LACK_NOTHING; lack = lacking(s, m, job, &freed)) {
+        struct rp_place *place = cheapest(m, job, lack, taken, now);
         if (!place)
             return -1;
         taken[place - m->places] = true;
-        rp_resources_add(&room, &place->job->spec.each);
+        free_place(&freed, place, job);
         price += worth(place, now);
     }
     return price;
 }
 
-static void make_room(struct rp_services *s, struct rp_machine *m, const struct rp_job *job,
-                      struct timespec now) {
-    struct rp_resources room = room_of(s, m);
-    while (!rp_resources_fit(&job->spec.each, &room)) {
-        struct rp_place *place = cheapest(m, job, NULL, now);
+/* Returns what is given back by the time of the start. */
+static struct rp_freed make_room(struct rp_services *s, struct rp_machine *m,
+                                 const struct rp_job *job, struct timespec now) {
+    struct rp_freed freed = freed_already(m, job);
+    for (enum lack lack; (lack = lacking(s, m, job, &freed)) != LACK_NOTHING;) {
+        struct rp_place *place = cheapest(m, job, lack, NULL, now);
         if (!place)
-            return;
-        rp_resources_add(&room, &place->job->spec.each);
+            break;
         s->n_made_room++;
-        if (place->state == RP_PLACE_PLANNED)
+        if (place->state == RP_PLACE_PLANNED) {
             rp_place_drop(s->picture, m, (size_t)(place - m->places));
-        else
-            rp_place_stop(place, 0);
+            continue; /* its room is free, and its team's part, as counted anew */
+        }
+        rp_place_stop(place, 0);
+        free_place(&freed, place, job);
     }
+    return freed;
 }
 
 /* ---- the best machine ---- */
@@ -209,12 +235,11 @@
 
 static bool place_task(struct rp_services *s, struct rp_job *job, uint32_t task,
                        struct timespec now) {
+    static const struct rp_freed all = {{1e12, 1e12, 1e12}, {1e12, 1e12, 1e12}};
     struct rp_machine *best = NULL;
     double best_price = 0;
     for (struct rp_machine *m = s->picture->first; m; m = m->next) {
         double price = price_of(s, m, job, now);
-        struct rp_resources all =
-            m->type >= 0 ? s->catalog->types[m->type].capacity : (struct rp_resources){0};
         if (price < 0 || (best && price >= best_price) ||
             !rp_picture_may_start_over(s->picture, job, task, m, &all))
             continue;
@@ -223,12 +248,65 @@
     }
     if (!best)
         return false;
-    make_room(s, best, job, now);
+    struct rp_freed freed = make_room(s, best, job, now);
+    if (!rp_picture_may_start_over(s->picture, job, task, best, &freed))
+        return false;
     rp_place_add(s->picture, best, job, task, rp_picture_attempt(s->picture), RP_PLACE_PLANNED);
     s->n_placed++;
     return true;
 }
 
+/* ---- room within a team's limit ---- */
+
+static bool beyond(const struct rp_resources *over) {
+    return over->cpus > 0 || over->gpus > 0;
+}
+
+/* What the team of the job lacks for its missing replicas, once all that is being stopped is gone.
+ */
+static struct rp_resources quota_lack(const struct rp_services *s, const struct rp_job *job) {
+    struct rp_resources over = rp_picture_over_quota(s->picture, job);
+    double more = job->spec.n_tasks - job->n_counted - 1.0;
+    over.cpus += more * job->spec.each.cpus;
+    over.gpus += more * job->spec.each.gpus;
+    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++) {
+            const struct rp_place *place = &m->places[i];
+            if (place->state == RP_PLACE_EXITED || !place->stop || place->job->team != job->team)
+                continue;
+            over.cpus -= place->job->spec.each.cpus;
+            over.gpus -= place->job->spec.each.gpus;
+        }
+    return over;
+}
+
+/* A team at its limit, whose lower work sits where a replica can't go (on spot machines, say),
+ * would have no machine rented for it either: that work makes way wherever it is. */
+static void free_quota(struct rp_services *s, const struct rp_job *job, struct timespec now) {
+    struct rp_resources over = quota_lack(s, job);
+    while (isfinite(over.cpus) && isfinite(over.gpus) && beyond(&over)) {
+        struct rp_machine *from = NULL;
+        struct rp_place *best = NULL;
+        for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+            struct rp_place *place = cheapest(m, job, LACK_QUOTA, NULL, now);
+            if (place && (!best || worth(place, now) < worth(best, now))) {
+                best = place;
+                from = m;
+            }
+        }
+        if (!best)
+            return;
+        const struct rp_job_spec *spec = &best->job->spec;
+        over.cpus -= spec->each.cpus;
+        over.gpus -= spec->each.gpus;
+        s->n_made_room++;
+        if (best->state == RP_PLACE_PLANNED)
+            rp_place_drop(s->picture, from, (size_t)(best - from->places));
+        else
+            rp_place_stop(best, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
+    }
+}
+
 /* ---- what arrives ---- */
 
 static void note_arrival(struct rp_services *s, const struct rp_job *job, struct timespec now) {
@@ -301,8 +379,11 @@
     if (!rp_picture_job_settled(s->picture, job))
         return;
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
-        if (rp_job_places(job, task) == 0 && !place_task(s, job, task, now))
+        if (rp_job_places(job, task) == 0 && !place_task(s, job, task, now)) {
+            if (s->settings->tuning.preemption)
+                free_quota(s, job, now);
             return;
+        }
 }
 
 void rp_services_run(struct rp_services *s) {
@@ -340,7 +421,7 @@
         known++;
         silent += !fresh(s, m, now);
     }
-    return (double)silent <= GONE_SHARE * (double)known;
+    return (double)silent <= fmax(1, GONE_SHARE * (double)known);
 }
 
 /* A machine that hangs or has died takes its replicas with it, and nobody may start them elsewhere
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -14,7 +14,8 @@
     75.0              /* after troubles, a job that no question about is answered is forgotten     \
                        */
 #define BEGIN_S 240.0 /* and every one begins by then */
-#define LARGE 40      /* tasks of the largest jobs */
+#define REPLICA_DOWN_S 90.0 /* and no replica of a service is missing for longer */
+#define LARGE 40            /* tasks of the largest jobs */
 
 enum event_kind { EV_REQUEST, EV_ANSWER, EV_REPORT, EV_REPORT_ANSWER, EV_USER };
 
@@ -29,6 +30,7 @@
     double deadline;
     rp_answer_fn fn;
     void *arg;
+    bool unsent; /* where no connection could be made */
     int status;
     int worker; /* or job, for users */
     uint64_t flight;
@@ -75,6 +77,8 @@
     return 0.0005 + 0.004 * uniform(s) + (chance(s, 0.01) ? 0.3 * uniform(s) : 0);
 }
 
+const struct sim_engine *sim_old_engine;
+
 /* ---- state service ---- */
 
 static struct sim_key *key_find(struct sim *s, const char *key) {
@@ -128,9 +132,72 @@
     return NULL;
 }
 
+static bool any_old(const struct sim *s) {
+    bool old = false;
+    for (int i = 0; i < s->n_nodes; i++)
+        old |= s->nodes[i].old || s->nodes[i].next_old;
+    return old;
+}
+
+static bool has_prefix(const char *key, const char *prefix) {
+    return strncmp(key, prefix, strlen(prefix)) == 0;
+}
+
+/* Nothing that the version before doesn't read may be stored while any of its nodes is left, and
+ * the activation neither; nor a service, which it would run as an array. */
+static void check_forms(struct sim *s, const char *key, const json_t *value) {
+    bool said = has_prefix(key, RP_KEY_VERSION) || strcmp(key, RP_KEY_FORMAT) == 0;
+    bool unit = has_prefix(key, RP_KEY_PROGRESS) && strstr(key, "/u");
+    const char *kind = json_string_value(json_object_get(json_object_get(value, "spec"), "haul"));
+    if (strcmp(key, RP_KEY_FORMAT) == 0) {
+        s->activated = s->now;
+        if (any_old(s))
+            broken(s, "activated_early");
+    }
+    if (!any_old(s) && s->activated > 0)
+        return;
+    if (!said && (unit || has_prefix(key, RP_KEY_PART) || rp_record_format(value) > 1))
+        broken(s, "too_early: %s", key);
+    if (kind && strcmp(kind, "service") == 0)
+        broken(s, "too_early: service %s", key);
+}
+
+/* From a moment after the activation on, everything fits what is to come. */
+static int check_limits(struct sim *s, json_t *ops) {
+    json_t *v;
+    size_t i, n = json_array_size(ops), largest = 0;
+    json_array_foreach(ops, i, v) {
+        const json_t *value = json_object_get(v, "v");
+        size_t size = value ? rp_record_size(value) : 0;
+        largest = size > largest ? size : largest;
+    }
+    bool fits = (double)n <= s->next.txn_ops && (double)largest <= s->next.value_bytes;
+    if (s->activated > 0 && s->now > s->activated + 1.5 && !fits)
+        broken(s, "too_large: changes=%zu bytes=%zu", n, largest);
+    if ((double)n > s->limits.txn_ops || (double)largest > s->limits.value_bytes) {
+        s->n_bad++;
+        return 400;
+    }
+    double rate = s->limits.write_rps;
+    s->write_room = fmin(rate, s->write_room + (s->now - s->write_room_at) * rate);
+    s->write_room_at = s->now;
+    if (s->write_room < (double)n) {
+        s->n_too_fast++;
+        return 429;
+    }
+    s->write_room -= (double)n;
+    return 200;
+}
+
 static int state_txn(struct sim *s, json_t *body, json_t **out) {
     json_t *failed = json_array(), *v;
     size_t i;
+    int status = check_limits(s, json_object_get(body, "then"));
+    if (status != 200) {
+        json_decref(failed);
+        *out = json_pack("{s:s}", "error", status == 400 ? "too large" : "too fast");
+        return status;
+    }
     json_array_foreach(json_object_get(body, "when"), i, v) {
         const char *path = json_string_value(json_object_get(v, "path"));
         struct sim_key *k = key_find(s, path);
@@ -156,6 +223,8 @@
     json_array_foreach(json_object_get(body, "then"), i, v) {
         const char *put = json_string_value(json_object_get(v, "write"));
         const char *gone = json_string_value(json_object_get(v, "delete"));
+        if (put)
+            check_forms(s, put, json_object_get(v, "v"));
         if (put)
             key_put(s, put, json_object_get(v, "v"),
                     (uint64_t)json_integer_value(json_object_get(v, "lashing")));
@@ -206,7 +275,14 @@
     return at ? out : NULL;
 }
 
-static json_t *state_list(struct sim *s, const char *target) {
+/* A node that stands for the version before sees nothing that it wouldn't ask for. */
+static bool hidden(const struct sim *s, int node, const char *key) {
+    return s->nodes[node].old && !s->nodes[node].old_node &&
+           (has_prefix(key, RP_KEY_VERSION) || strcmp(key, RP_KEY_FORMAT) == 0 ||
+            has_prefix(key, RP_KEY_PART));
+}
+
+static json_t *state_list(struct sim *s, int node, const char *target) {
     struct sim_key *found[SIM_KEYS];
     char prefix[256], from[256], limit[32];
     int n = 0;
@@ -215,7 +291,7 @@
     bool after = param(target, "&from=", from, sizeof from) != NULL;
     size_t most = param(target, "limit=", limit, sizeof limit) ? strtoul(limit, NULL, 10) : 1000;
     for (int i = 0; i < s->n_keys; i++)
-        if (strncmp(s->keys[i].key, prefix, strlen(prefix)) == 0 &&
+        if (has_prefix(s->keys[i].key, prefix) && !hidden(s, node, s->keys[i].key) &&
             (!after || strcmp(s->keys[i].key, from) > 0))
             found[n++] = &s->keys[i];
     qsort(found, (size_t)n, sizeof found[0], by_key);
@@ -252,13 +328,15 @@
     if (strncmp(e->target, "/leases", 7) == 0)
         return state_lease(s, e->method, e->target + 7, body, out);
     if (strncmp(e->target, "/kv?", 4) == 0) {
-        *out = state_list(s, e->target);
+        *out = state_list(s, e->node, e->target);
         s->n_state_lists++;
         s->n_rows_read += json_array_size(json_object_get(*out, "rows"));
         return 200;
     }
     s->n_state_reads++;
     struct sim_key *k = key_find(s, e->target + 4);
+    if (k && hidden(s, e->node, k->key))
+        k = NULL;
     if (!k) {
         *out = json_pack("{s:I}", "ledger_rev", (json_int_t)s->revision);
         return 404;
@@ -395,6 +473,7 @@
     const struct sim_job *job = &s->jobs[t->job_index];
     const struct rp_job_spec *spec = &job->spec;
     double cpus = 0;
+    uint32_t in_zone = 1;
     s->n_starts++;
     s->jobs[t->job_index].begun = true;
     if (job->told_cancelled && s->now > job->cancelled_at + s->size.cancel_s)
@@ -415,9 +494,12 @@
             if (o->index == t->index)
                 broken(s, "ran_twice: %s/%u on %s and %s", t->job, t->index, w->name,
                        s->workers[i].name);
+            in_zone += s->workers[i].zone == w->zone;
             if (spec->one_zone && s->workers[i].zone != w->zone)
                 broken(s, "wrong_place: %s/%u in two zones", t->job, t->index);
         }
+    if (spec->spread && in_zone > (spec->n_tasks + 1) / 2)
+        broken(s, "wrong_place: %s has %u tasks in zone %s", t->job, in_zone, sim_zones[w->zone]);
     if (cpus > s->settings[0].teams[0].cpus_max + 1e-6)
         broken(s, "quota: %.1f CPUs in use", cpus);
 }
@@ -465,6 +547,8 @@
         task_exit(w, t, "no_room", s->now);
     else
         t->ready = s->now + 0.5 + uniform(s);
+    if (s->breakage == SIM_REPLICAS_NEVER_START && s->jobs[j].spec.kind == RP_SERVICE)
+        t->ready = 1e9;
     if (s->breakage == SIM_LARGE_NEVER_BEGIN && s->jobs[j].spec.n_tasks >= LARGE)
         t->ready = 1e9;
 }
@@ -549,6 +633,35 @@
                      "lifts", tasks);
 }
 
+/* A direct command or question, when it arrives. 0: nobody is there to answer. */
+static int worker_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
+    struct sim_worker *w = NULL;
+    int status = 200;
+    for (int i = 0; i < s->size.workers; i++)
+        if (s->workers[i].used && strcmp(s->workers[i].name, e->addr) == 0)
+            w = &s->workers[i];
+    if (!w || !w->alive || !w->up)
+        return 0;
+    if (strcmp(e->target, RP_PATH_DIRECT) == 0) {
+        s->n_direct++;
+        if ((uint64_t)json_integer_value(json_object_get(body, "stint")) != w->session ||
+            !worker_takes_token(w, body))
+            status = 409;
+        else
+            worker_commands(s, w, body);
+    }
+    *out = worker_report(w, s->now);
+    return s->now < w->mute_until ? 0 : status;
+}
+
+/* The machine hangs, or its zone is cut off: what is on its way to it waits. */
+static bool worker_waits(const struct sim *s, const struct sim_event *e) {
+    for (int i = 0; i < s->size.workers; i++)
+        if (s->workers[i].used && strcmp(s->workers[i].name, e->addr) == 0)
+            return s->now < s->workers[i].hung_until || s->cut_zone == s->workers[i].zone + 1;
+    return false;
+}
+
 /* Members of the gang attempt that are in one of the states; `lost` when fewer than all live. */
 static int gang_members(const struct sim *s, const struct sim_task *t, bool ready_only) {
     int n = 0;
@@ -589,6 +702,9 @@
         if (gang && s->now > t->began + GANG_PEER_S &&
             gang_members(s, t, false) < (int)job->spec.n_tasks) {
             task_exit(w, t, "peers", s->now);
+        } else if (job->spec.kind == RP_SERVICE) {
+            if (chance(s, s->faults.end_s > 0 ? STEP_S / s->faults.end_s : 0) || job->faulty)
+                task_exit(w, t, chance(s, 0.5) ? "done" : "error", s->now);
         } else if (job->done[t->index] || s->now > t->began + job->spec.estimate_s) {
             if (job->faulty || (!job->done[t->index] && chance(s, s->faults.task_error))) {
                 task_exit(w, t, "error", s->now);
@@ -773,7 +889,10 @@
                                  .body = r->body,
                                  .len = strlen(r->body),
                                  .respond = request_respond};
-    rp_node_client_request(n->node, &r->req);
+    if (n->old_node)
+        sim_old_engine->client(n->old_node, &r->req);
+    else
+        rp_node_client_request(n->node, &r->req);
 }
 
 struct sim_line {
@@ -783,9 +902,9 @@
 };
 
 /* A node's call into the world. */
-static void line_call(void *ctx, const char *addr, const char *method, const char *target,
-                      const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
-    struct sim_line *line = ctx;
+static void call_start(struct sim_line *line, bool once, const char *addr, const char *method,
+                       const char *target, const char *body, double timeout_s, rp_answer_fn fn,
+                       void *arg) {
     struct sim *s = line->sim;
     struct sim_event *e = event_new(s, EV_REQUEST, delay(s));
     e->node = line->node;
@@ -798,7 +917,9 @@
     e->fn = fn;
     e->arg = arg;
     bool watch = strncmp(target, "/follow", 7) == 0;
-    if (chance(s, s->faults.repeat) && strcmp(method, "GET") != 0 &&
+    bool lost = !watch && chance(s, s->faults.lose);
+    e->unsent = lost && once && chance(s, 0.5); /* no connection was made: no copy of it exists */
+    if (!e->unsent && chance(s, s->faults.repeat) && strcmp(method, "GET") != 0 &&
         strcmp(target, "/leases") != 0) {
         struct sim_event *copy = event_new(s, EV_REQUEST, 0.05 + 30 * uniform(s));
         *copy = (struct sim_event){.kind = EV_REQUEST, .due = copy->due, .answered = true};
@@ -808,17 +929,29 @@
         copy->target = strdup(target);
         copy->body = body ? strdup(body) : NULL;
     }
-    if (!watch && chance(s, s->faults.lose))
+    if (lost)
         e->due = e->deadline; /* never carried out: the time-out answers */
     else if (!watch && chance(s, s->faults.late))
         e->due = s->now + timeout_s + 30 * uniform(s);
 }
 
+static void line_call(void *ctx, const char *addr, const char *method, const char *target,
+                      const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    call_start(ctx, false, addr, method, target, body, timeout_s, fn, arg);
+}
+
+static void line_call_once(void *ctx, const char *addr, const char *method, const char *target,
+                           const char *body, double timeout_s, rp_answer_fn fn, void *arg) {
+    call_start(ctx, true, addr, method, target, body, timeout_s, fn, arg);
+}
+
 static void answer_call(struct sim *s, struct sim_event *e, int status, json_t *out) {
     struct sim_node *n = &s->nodes[e->node];
     char *text = out ? json_dumps(out, JSON_COMPACT) : NULL;
-    struct rp_answer answer = {
-        .status = status, .body = text ? text : "", .len = text ? strlen(text) : 0};
+    struct rp_answer answer = {.status = status,
+                               .unsent = status == 0 && e->unsent,
+                               .body = text ? text : "",
+                               .len = text ? strlen(text) : 0};
     e->answered = true;
     if (n->alive && n->life == e->life)
         e->fn(e->arg, &answer);
@@ -846,11 +979,18 @@
         .req = {.method = e->method, .target = e->target, .body = "", .respond = peer_respond}};
     if (!n->alive || s->now < n->stalled_until)
         return 0;
-    rp_node_peer_request(n->node, &r.req);
+    if (n->old_node)
+        sim_old_engine->peer(n->old_node, &r.req);
+    else
+        rp_node_peer_request(n->node, &r.req);
     *out = r.body;
     return r.status;
 }
 
+static bool to_worker(const struct sim_event *e) {
+    return strncmp(e->addr, "vm-", 3) == 0;
+}
+
 static void time_out(struct sim *s, struct sim_event *e) {
     if (!e->answered)
         answer_call(s, e, 0, NULL);
@@ -891,10 +1031,16 @@
         json_decref(out);
         return true;
     }
-    if (!e->answered && s->now >= e->deadline && chance(s, 0.5)) {
+    if (!e->answered && s->now >= e->deadline && (e->unsent || chance(s, 0.5))) {
         time_out(s, e);
         return true;
     }
+    if (to_worker(e) && worker_waits(s, e)) {
+        if (!e->answered && s->now >= e->deadline)
+            time_out(s, e);
+        e->due = s->now + 0.1; /* carried out when the machine goes on, if it still may be */
+        return false;
+    }
     if (!e->answered && s->now >= e->deadline)
         time_out(s, e);
     body = e->body ? json_loads(e->body, 0, NULL) : NULL;
@@ -902,9 +1048,12 @@
         status = state_request(s, e, body, &out);
     else if (strcmp(e->addr, "cloud") == 0)
         status = cloud_request(s, e, body, &out);
+    else if (to_worker(e))
+        status = worker_request(s, e, body, &out);
     else
         status = peer_call(s, e, &out);
     if (!e->answered) {
+        e->unsent = false;
         if (chance(s, s->faults.lose))
             time_out(s, e);
         else
@@ -918,16 +1067,27 @@
 static void node_start(struct sim *s, int index) {
     struct sim_node *n = &s->nodes[index];
     struct sim_line *line = calloc(1, sizeof *line);
-    n->node = calloc(1, sizeof *n->node);
-    if (!n->node || !line)
+    if (!line)
         abort();
     *line = (struct sim_line){.sim = s, .node = index, .life = ++n->life};
+    struct rp_net net = {.ctx = line, .call = line_call, .call_once = line_call_once};
     n->alive = true;
+    n->old = n->next_old;
     n->drift = 1.0 + 0.0005 * uniform(s);
     n->offset = 100 + 1000 * uniform(s) - s->now * n->drift;
+    double now = n->offset + s->now * n->drift;
+    if (n->old && sim_old_engine) {
+        n->old_node = sim_old_engine->open(n->settings, net, now);
+        if (!n->old_node)
+            abort();
+        return;
+    }
+    n->node = calloc(1, sizeof *n->node);
+    if (!n->node)
+        abort();
+    s->settings[index].tuning.keep_old_forms = n->old;
     rp_loop_init(&n->loop, true);
-    n->loop.virtual_now = rp_ts(n->offset + s->now * n->drift);
-    struct rp_net net = {.ctx = line, .call = line_call};
+    n->loop.virtual_now = rp_ts(now);
     if (rp_node_init(n->node, &n->loop, net, &s->settings[index]) < 0)
         abort();
     rp_node_start(n->node);
@@ -940,14 +1100,64 @@
     /* What the process held is gone with it; requests under way are leaked on purpose, as the
      * node's call-backs must never run again. */
     n->alive = false;
+    n->back = s->now + back_s;
+    if (n->old_node) {
+        sim_old_engine->close(n->old_node);
+        n->old_node = NULL;
+        return;
+    }
     rp_node_close(n->node);
     rp_loop_close(&n->loop);
-    n->back = s->now + back_s;
+}
+
+void sim_upgrade(struct sim *s, int node, double back_s) {
+    sim_crash(s, node, back_s);
+    s->nodes[node].next_old = s->nodes[node].old = false;
+}
+
+void sim_all_old(struct sim *s) {
+    for (int i = 0; i < s->n_nodes; i++) {
+        s->nodes[i].next_old = true;
+        sim_crash(s, i, 0);
+        node_start(s, i);
+    }
+}
+
+void sim_lower_limits(struct sim *s) {
+    s->limits = s->next;
+    s->write_room = fmin(s->write_room, s->next.write_rps);
+}
+
+void sim_store(struct sim *s, const char *key, const char *text) {
+    json_t *v = json_loads(text, JSON_DECODE_ANY, NULL);
+    if (!v)
+        abort();
+    s->revision++;
+    key_put(s, key, v, 0);
+    json_decref(v);
+}
+
+const json_t *sim_stored(struct sim *s, const char *key) {
+    struct sim_key *k = key_find(s, key);
+    return k ? k->value : NULL;
+}
+
+size_t sim_count_stored(struct sim *s, const char *prefix) {
+    size_t n = 0;
+    for (int i = 0; i < s->n_keys; i++)
+        n += has_prefix(s->keys[i].key, prefix);
+    return n;
+}
+
+static bool node_leads(const struct sim_node *n) {
+    if (!n->alive)
+        return false;
+    return n->old_node ? sim_old_engine->leads(n->old_node) : n->node->at == RP_NODE_LEADING;
 }
 
 int sim_leader(const struct sim *s) {
     for (int i = 0; i < s->n_nodes; i++)
-        if (s->nodes[i].alive && s->nodes[i].node->at == RP_NODE_LEADING)
+        if (node_leads(&s->nodes[i]))
             return i;
     return -1;
 }
@@ -959,8 +1169,13 @@
             node_start(s, index);
         return;
     }
-    if (s->now >= n->stalled_until)
-        rp_loop_advance(&n->loop, rp_ts(n->offset + s->now * n->drift));
+    if (s->now < n->stalled_until)
+        return;
+    double now = n->offset + s->now * n->drift;
+    if (n->old_node)
+        sim_old_engine->advance(n->old_node, now);
+    else
+        rp_loop_advance(&n->loop, rp_ts(now));
 }
 
 /* ---- users ---- */
@@ -976,6 +1191,8 @@
 }
 
 static void check_done(struct sim *s, const struct sim_job *job) {
+    if (job->spec.kind == RP_SERVICE)
+        broken(s, "not_done: service %s is called done", job->spec.id);
     for (uint32_t i = 0; i < job->spec.n_tasks; i++)
         if (!job->done[i])
             broken(s, "not_done: %s/%u", job->spec.id, i);
@@ -1045,13 +1262,22 @@
     char id[32], why[128];
     snprintf(id, sizeof id, "j-%06d", s->n_jobs);
     bool gang = strncmp(kind, "ensemble", strlen("ensemble")) == 0;
+    bool service = strcmp(kind, "service") == 0;
     bool low = !gang || strcmp(kind, "ensemble:low") == 0;
     json_t *v = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
-        id, "rig", gang ? "g" : "a", "crew", "t", "haul", gang ? "ensemble" : kind, "precedence",
-        low ? "low" : "urgent", "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0,
-        "payload", "img-1", "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", 0,
-        "loaners", true, "run_guess_s", run_s, "brace_every_s", 5.0, "brace_s", 1.0, "due_s");
+        id, "rig",
+        gang      ? "g"
+        : service ? "s"
+                  : "a",
+        "crew", "t", "haul", gang ? "ensemble" : kind, "precedence",
+        service ? "critical"
+        : low   ? "low"
+                : "urgent",
+        "lifts", (int)tasks, "vcpus", cpus, "cards", 0.0, "memory_gb", 2.0, "payload", "img-1",
+        "image_gb", 1.0, "frames", "yard", "one_zone", gang, "spread", service, "loaners", !service,
+        "run_guess_s", service ? 0.0 : run_s, "brace_every_s", service ? 0.0 : 5.0, "brace_s", 1.0,
+        "due_s");
     if (!v || !rp_wire_spec_read(v, &job->spec, why))
         abort();
     job->used = true;
@@ -1062,6 +1288,26 @@
     return s->n_jobs++;
 }
 
+int sim_submit_long(struct sim *s, double at, unsigned tasks, double run_s) {
+    int index = sim_submit(s, at, "sweep", tasks, 1, run_s, 0);
+    struct sim_job *job = &s->jobs[index];
+    json_t *v = json_loads(job->body, 0, NULL), *types = json_array();
+    char text[RP_TEXT_MAX];
+    memset(text, 1, sizeof text - 1); /* each takes six bytes in JSON */
+    text[sizeof text - 1] = '\0';
+    json_object_set_new(v, "rig", json_string(text));
+    json_object_set_new(v, "payload", json_string(text));
+    for (int i = 0; i < 900; i++) {
+        snprintf(text, sizeof text, "a-type-that-no-machine-is-of-%d", i);
+        json_array_append_new(types, json_string(i % 300 == 7 ? "wide" : text));
+    }
+    json_object_set_new(v, "frames", types);
+    free(job->body);
+    job->body = json_dumps(v, JSON_COMPACT);
+    json_decref(v);
+    return index;
+}
+
 /* ---- the world's steps ---- */
 
 static void happen(struct sim *s) {
@@ -1182,12 +1428,41 @@
     }
 }
 
+/* Replicas' time, counted from 10 s after acceptance; and, once the troubles are over, how long one
+ * may be down. */
+static void check_replicas(struct sim *s) {
+    for (int j = 0; j < s->n_jobs; j++) {
+        struct sim_job *job = &s->jobs[j];
+        if (job->spec.kind != RP_SERVICE || !job->accepted || job->cancel_asked)
+            continue;
+        bool up[SIM_JOB_TASKS] = {false};
+        for (int i = 0; i < s->size.workers; i++)
+            for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
+                 k++)
+                if (s->workers[i].tasks[k].job_index == j &&
+                    s->workers[i].tasks[k].state == RP_TASK_RUNNING &&
+                    s->now >= s->workers[i].hung_until)
+                    up[s->workers[i].tasks[k].index] = true;
+        for (uint32_t t = 0; t < job->spec.n_tasks; t++) {
+            if (s->now > job->accepted_at + 10)
+                *(up[t] ? &job->up_s : &job->down_s) += STEP_S * 5;
+            if (up[t])
+                job->down_since[t] = 0;
+            else if (job->down_since[t] <= 0)
+                job->down_since[t] = s->now;
+            if (!up[t] && !job->faulty && s->calm_since > 0 &&
+                s->now > fmax(job->down_since[t], s->calm_since) + REPLICA_DOWN_S)
+                broken(s, "replica_down: %s/%u", job->spec.id, t);
+        }
+    }
+}
+
 void sim_check_served(struct sim *s) {
     /* One team, two classes; the largest are those of LARGE tasks and more. */
     unsigned asked[3] = {0}, served[3] = {0};
     for (int i = 0; i < s->n_jobs; i++) {
         const struct sim_job *job = &s->jobs[i];
-        if (!job->accepted || job->cancel_asked)
+        if (!job->accepted || job->cancel_asked || job->spec.kind == RP_SERVICE)
             continue;
         int kinds[2] = {job->spec.kind == RP_GANG, job->spec.n_tasks >= LARGE ? 2 : -1};
         for (int k = 0; k < 2; k++)
@@ -1226,6 +1501,8 @@
         happen(s);
         check_cancelled(s);
         check_known(s);
+        if (++s->steps % 5 == 0)
+            check_replicas(s);
     }
 }
 
@@ -1242,7 +1519,8 @@
     "\"params\":{\"nodes\":%d,\"zones\":[\"a\",\"b\"],\"teams\":[{\"name\":\"t\",\"cpus\":0,"
     "\"cpus_max\":60,\"gpus\":0,\"gpus_max\":0}],\"objectives\":[],\"workers\":{\"report_s\":%g,"
     "\"lease_s\":%g,\"gang_wait_s\":40,\"gang_peer_s\":5,\"cancel_s\":%g},\"state\":{\"rps\":%g,"
-    "\"write_rps\":%g,\"value_kb\":8,\"txn_ops\":8},\"cloud\":{\"rps\":%g,\"list_lag_s\":3},"
+    "\"write_rps\":%g,\"value_kb\":8,\"txn_ops\":8,\"next\":{\"write_rps\":%g,"
+    "\"value_kb\":1,\"txn_ops\":4}},\"cloud\":{\"rps\":%g,\"list_lag_s\":3},"
     "\"machine_limits\":{\"cpu_share\":0.1,\"mem_mb\":64,\"max_connections\":800}}}";
 
 struct sim *sim_new(unsigned long seed, const struct sim_faults *faults, enum sim_breakage breakage,
@@ -1262,6 +1540,9 @@
     s->n_nodes = n_nodes;
     s->faults = *faults;
     s->breakage = breakage;
+    s->limits = (struct sim_limits){8192, 8, size->write_rps};
+    s->next = (struct sim_limits){1024, 4, size->write_rps * 0.75};
+    s->write_room = size->write_rps;
     s->log = json_array();
     s->rentals = json_object();
     for (int i = 0; i < s->n_nodes; i++) {
@@ -1273,10 +1554,11 @@
                         "%s{\"node_name\":\"n%d\",\"location\":\"a\",\"addr\":\"peer%d\"}",
                         *peers ? "," : "", p, p);
         if (asprintf(&text, settings_text, i, peers, s->n_nodes, size->report_s, size->lease_s,
-                     size->cancel_s, size->rps, size->write_rps, size->cloud_rps) < 0 ||
+                     size->cancel_s, size->rps, size->write_rps, size->write_rps * 0.75,
+                     size->cloud_rps) < 0 ||
             rp_settings_parse(&s->settings[i], text, "settings", stderr))
             abort();
-        free(text);
+        s->nodes[i].settings = text;
         rp_settings_complete(&s->settings[i]);
         s->settings[i].tuning.round_period_s = 2;
         node_start(s, i);
@@ -1287,6 +1569,7 @@
 void sim_free(struct sim *s) {
     for (int i = 0; i < s->n_nodes; i++) {
         sim_crash(s, i, 1e9);
+        free(s->nodes[i].settings);
         rp_settings_free(&s->settings[i]);
     }
     for (int i = 0; i < s->n_events; i++)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -34,6 +34,7 @@
     double mute_s;  /* mean time until some machine's answers stop coming, though its reports go */
     double alone_s; /* mean time until a node loses state service and nodes, not the workers */
     double blink_s; /* mean time between ends of processes and machines that are back at once */
+    double end_s;   /* mean time until some replica of a service ends by itself */
 };
 
 /* How large the world is, and its time constants. */
@@ -52,7 +53,25 @@
     SIM_WORKERS_IGNORE_STOPS, /* cancelled tasks go on */
     SIM_COPIES_LOOK_NEW,      /* copies of reports carry a number above all others */
     SIM_POLLS_GET_LOST,       /* no question about the first job is answered */
-    SIM_LARGE_NEVER_BEGIN     /* tasks of the largest jobs fetch their image for ever */
+    SIM_LARGE_NEVER_BEGIN,    /* tasks of the largest jobs fetch their image for ever */
+    SIM_REPLICAS_NEVER_START  /* services' tasks fetch their image for ever */
+};
+
+/* Where nodes of the version before come from: the really built one (tests/mixed/), or, NULL, this
+ * version's that keeps to the old forms and is shown nothing else. */
+struct sim_engine {
+    void *(*open)(const char *settings, struct rp_net net, double now);
+    void (*advance)(void *node, double to);
+    void (*client)(void *node, struct rp_request *req);
+    void (*peer)(void *node, struct rp_request *req);
+    bool (*leads)(void *node);
+    void (*close)(void *node);
+};
+extern const struct sim_engine *sim_old_engine;
+
+/* What the state service takes; 0: as its settings say. */
+struct sim_limits {
+    double value_bytes, txn_ops, write_rps;
 };
 
 struct sim_task {
@@ -95,13 +114,19 @@
     double cancelled_at, told_at, accepted_at, poll_at, submit_at, cancel_at;
     bool done[SIM_JOB_TASKS];
     bool faulty;
+    double down_since[SIM_JOB_TASKS]; /* of a replica; 0: it runs */
+    double down_s, up_s;              /* replicas' time, summed up, from 10 s after acceptance on */
 };
 
 struct sim_node {
     bool alive;
     unsigned long life;
     struct rp_loop loop;
-    struct rp_node *node;
+    struct rp_node *node; /* NULL: of the engine */
+    void *old_node;
+    bool old;       /* of the version before */
+    bool next_old;  /* once it has ended */
+    char *settings; /* its settings file */
     double drift, offset, back, stalled_until, deaf_until;
     double alone_until; /* cut from the state service and the other nodes */
 };
@@ -121,10 +146,16 @@
 
 struct sim {
     gsl_rng *rng;
+    unsigned long steps;
     struct sim_size size;
     double now;
     int n_nodes;
     struct sim_faults faults;
+    struct sim_limits limits; /* in force */
+    struct sim_limits next;   /* what is to fit from the activation on */
+    double activated;         /* 0: not yet */
+    double write_room, write_room_at;
+    unsigned long n_bad, n_too_fast, n_direct;
     double calm_since; /* all troubles are over, 0: they aren't */
     enum sim_breakage breakage;
     struct rp_settings settings[SIM_NODES_MAX];
@@ -169,9 +200,21 @@
 /* Submits a job at a time; returns its index. Gangs are urgent, but for "ensemble:low". */
 int sim_submit(struct sim *s, double at, const char *kind, unsigned tasks, double cpus,
                double run_s, double cancel_at);
+/* An array whose description is longer than the lowered limits let one value be. */
+int sim_submit_long(struct sim *s, double at, unsigned tasks, double run_s);
 bool sim_all_over(const struct sim *s);
 /* Kills a node's process; it comes back `back_s` later. */
 void sim_crash(struct sim *s, int node, double back_s);
+/* The same, and from then on it is of this version. */
+void sim_upgrade(struct sim *s, int node, double back_s);
+/* Makes all nodes of the version before, at the beginning of a day. */
+void sim_all_old(struct sim *s);
+/* The state service takes less from now on: what the settings announce. */
+void sim_lower_limits(struct sim *s);
+/* A record that stands in the state service from before. */
+void sim_store(struct sim *s, const char *key, const char *text);
+const json_t *sim_stored(struct sim *s, const char *key);
+size_t sim_count_stored(struct sim *s, const char *prefix);
 int sim_leader(const struct sim *s);
 
 #endif
