--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1077,7 +1077,7 @@
     n->offset = 100 + 1000 * uniform(s) - s->now * n->drift;
     double now = n->offset + s->now * n->drift;
     if (n->old && sim_old_engine) {
-        n->old_node = sim_old_engine->open(n->settings, net, now);
+        n->old_node = sim_old_engine->open(n->settings, &net, now);
         if (!n->old_node)
             abort();
         return;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -6,6 +6,7 @@
 
 #include <gsl/gsl_rng.h>
 #include <jansson.h>
+#include "engine.h"
 #include "node.h"
 
 #define SIM_NODES_MAX 5
@@ -57,16 +58,8 @@
     SIM_REPLICAS_NEVER_START  /* services' tasks fetch their image for ever */
 };
 
-/* Where nodes of the version before come from: the really built one (tests/mixed/), or, NULL, this
- * version's that keeps to the old forms and is shown nothing else. */
-struct sim_engine {
-    void *(*open)(const char *settings, struct rp_net net, double now);
-    void (*advance)(void *node, double to);
-    void (*client)(void *node, struct rp_request *req);
-    void (*peer)(void *node, struct rp_request *req);
-    bool (*leads)(void *node);
-    void (*close)(void *node);
-};
+/* Where nodes of the version before come from: the really built one (tests/mixed/run), or, NULL,
+ * this version's that keeps to the old forms and is shown nothing else. */
 extern const struct sim_engine *sim_old_engine;
 
 /* What the state service takes; 0: as its settings say. */
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -1,6 +1,7 @@
 /* Services, and days on which the nodes are replaced by a new version while they serve. */
 #include "test.h"
 
+#include <dlfcn.h>
 #include "log.h"
 #include "records.h"
 #include "sim.h"
@@ -164,18 +165,32 @@
 
 /* Every node is replaced, with troubles all the while: nodes end before their turn and come back
  * old. The limits come down right after the last one is back, and then services come. */
+static unsigned old_after_new, new_after_old; /* takeovers */
+
+/* Lets the world go on, and counts who takes over from whom. */
+static void run_counted(struct sim *s, double seconds) {
+    static int was = -1; /* -1 nobody, 0 new, 1 old */
+    for (double end = s->now + seconds; s->now < end && !s->broken[0];) {
+        sim_run(s, 0.1);
+        int leader = sim_leader(s), is = leader < 0 ? -1 : s->nodes[leader].old;
+        old_after_new += was == 0 && is == 1;
+        new_after_old += was == 1 && is == 0;
+        was = is < 0 ? was : is;
+    }
+}
+
 static void roll(unsigned long seed, int nodes, const struct sim_faults *f) {
     struct sim *s = sim_new(seed, f, SIM_SOUND, nodes);
     sim_all_old(s);
     submit_arrays(s, 0);
     sim_submit(s, 10, "sweep", 30, 1, 25, 70);
-    sim_run(s, 25 + (double)(seed % 7));
+    run_counted(s, 25 + (double)(seed % 7));
     for (int i = 0; i < nodes; i++) {
         int node = (int)((unsigned long)i * (1 + seed % 2) + seed) % nodes;
         while (!s->nodes[node].next_old)
             node = (node + 1) % nodes;
         sim_upgrade(s, node, 0.2 + (double)(seed % 4));
-        sim_run(s, i + 1 < nodes ? 3 + (double)(seed % 11) : 4);
+        run_counted(s, i + 1 < nodes ? 3 + (double)(seed % 11) : 4);
         expect_sound(s, seed);
     }
     sim_lower_limits(s);
@@ -208,6 +223,7 @@
         roll(seed, 3, &f);
     for (unsigned long seed = 1220; seed < 1226; seed++)
         roll(seed, 5, &f);
+    assert_true(old_after_new >= 5 && new_after_old >= 5);
 }
 
 /* Without troubles the format is active within two seconds of the last node's return, and nothing
@@ -442,6 +458,16 @@
     sim_free(s);
 }
 
+/* Outside CI: nodes of the really built version in production (tests/mixed/run). */
+static void load_old(const char *library) {
+    void *so = library ? dlopen(library, RTLD_NOW | RTLD_LOCAL) : NULL;
+    if (library && !so)
+        fprintf(stderr, "%s\n", dlerror());
+    sim_old_engine = so ? dlsym(so, SIM_ENGINE_SYMBOL) : NULL;
+    if (library && !sim_old_engine)
+        exit(2);
+}
+
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(replicas_stand),
                                        cmocka_unit_test(hung_machine_frees_replicas),
@@ -458,6 +484,7 @@
                                        cmocka_unit_test(strange_records),
                                        cmocka_unit_test(broken_rolls_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
+    load_old(getenv("RP_OLD_NODE"));
     if (argc > 1)
         cmocka_set_test_filter(argv[1]);
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,6 +1,7 @@
 /* Outside words to structs and back; records. */
 #include "test.h"
 
+#include <math.h>
 #include <gsl/gsl_rng.h>
 #include "records.h"
 #include "wire.h"
@@ -174,10 +175,112 @@
     gsl_rng_free(rng);
 }
 
+/* ---- the version in production ---- */
+
+/* Records as version 0.1.0 (commit f31ac04) wrote them: taken from the state service of a simulated
+ * day of its nodes. Until the activation this version writes the same, to the letter of their
+ * meaning; it reads them always. */
+static const char *const production_job =
+    "{\"spec\":{\"ref\":\"j-000001\",\"rig\":\"g\",\"crew\":\"t\",\"haul\":\"ensemble\","
+    "\"precedence\":\"urgent\",\"lifts\":2,\"vcpus\":8.0,\"cards\":0.0,\"memory_gb\":2.0,"
+    "\"payload\":\"img-1\",\"image_gb\":1.0,\"one_zone\":true,\"spread\":false,\"loaners\":true,"
+    "\"run_guess_s\":90.0,\"brace_every_s\":5.0,\"brace_s\":1.0},\"at\":1796179601.6135132}";
+static const char *const production_rental =
+    "{\"type\":\"small\",\"zone\":\"b\",\"spot\":true,\"count\":2,\"asked\":1796179601.61427,"
+    "\"machines\":[\"vm-000006\",\"vm-000007\"],\"up\":[\"vm-000006\"]}";
+
+static void same(json_t *written, const char *literal) {
+    json_t *v = json_loads(literal, 0, NULL);
+    assert_non_null(v);
+    if (!json_equal(written, v))
+        fail_msg("%s is not %s", json_dumps(written, 0), literal);
+    json_decref(v);
+    json_decref(written);
+}
+
+static void records_of_production(void **state) {
+    struct rp_job_spec spec;
+    struct timespec at;
+    struct rp_rental_record r;
+    const char *names[] = {"vm-000006", "vm-000007"};
+    const bool up[] = {true, false};
+    uint8_t bits[RP_CHUNK_BYTES] = {0x0f, 0xa0, 1}, back[RP_CHUNK_BYTES] = {0};
+    enum rp_job_word word;
+    (void)state;
+    json_t *v = json_loads(production_job, 0, NULL);
+    assert_true(rp_record_open_read(v, &spec, &at));
+    assert_true(spec.kind == RP_GANG && spec.n_tasks == 2 && spec.one_zone && spec.spot);
+    json_decref(v);
+    v = rp_record_open(&spec, at);
+    assert_int_equal(rp_record_format(v), 1);
+    /* The time of day goes through a struct timespec: the same within a microsecond. */
+    assert_true(fabs(json_number_value(json_object_get(v, "at")) - 1796179601.6135132) < 1e-6);
+    json_object_set_new(v, "at", json_real(1796179601.6135132));
+    same(v, production_job);
+    rp_job_spec_free(&spec);
+    v = json_loads(production_rental, 0, NULL);
+    assert_true(rp_record_rental_read(v, &r) && r.answered && r.count == 2);
+    assert_true(rp_record_rental_up(v, names[0]) && !rp_record_rental_up(v, names[1]));
+    json_decref(v);
+    v = rp_record_rental(&r, names, up, 2);
+    json_object_set_new(v, "asked", json_real(1796179601.61427));
+    same(v, production_rental);
+    same(rp_record_over(RP_JOB_DONE), "{\"end\":\"done\"}");
+    same(rp_record_over(RP_JOB_CANCELLED), "{\"end\":\"cancelled\"}");
+    same(rp_record_leader("n0"), "{\"node\":\"n0\"}");
+    same(rp_record_progress(bits, sizeof bits), "{\"done\":\"0fa001\"}");
+    v = json_loads("{\"done\":\"0fa001\"}", 0, NULL);
+    assert_true(rp_record_progress_read(v, back, sizeof back) && memcmp(bits, back, 3) == 0);
+    json_decref(v);
+    v = json_loads("{\"end\":\"cancelled\"}", 0, NULL);
+    assert_true(rp_record_over_read(v, &word) && word == RP_JOB_CANCELLED);
+    json_decref(v);
+    v = json_loads("{\"end\":\"of a later version\"}", 0, NULL);
+    assert_false(rp_record_over_read(v, &word));
+    json_decref(v);
+}
+
+/* What nodes of format 1 read of marked records, and that they pass new keys over. */
+static void records_of_today(void **state) {
+    struct rp_job_spec spec;
+    struct timespec at;
+    json_t *pieces[RP_PARTS_MAX];
+    char job[RP_ID_MAX];
+    unsigned part;
+    (void)state;
+    json_t *v = json_loads(production_job, 0, NULL);
+    rp_record_mark(v);
+    assert_int_equal(rp_record_format(v), RP_FORMAT);
+    assert_true(rp_record_open_read(v, &spec, &at));
+    rp_job_spec_free(&spec);
+    for (size_t most = 160; most < 1000; most += 37) {
+        size_t n = rp_record_cut(v, most, pieces, RP_PARTS_MAX);
+        assert_true(n > 0 && rp_record_parts(pieces[0]) == n - 1);
+        for (size_t i = 0; i < n; i++)
+            assert_true(rp_record_size(pieces[i]) <= most);
+        json_t *whole = rp_record_join(pieces, n);
+        assert_true(json_equal(whole, v));
+        json_decref(whole);
+        for (size_t i = 0; i < n; i++)
+            json_decref(pieces[i]);
+    }
+    assert_int_equal(rp_record_cut(v, 160, pieces, 2), 0);
+    json_object_set_new(v, "f", json_integer(RP_FORMAT + 1));
+    assert_false(rp_record_open_read(v, &spec, &at));
+    json_decref(v);
+    assert_true(rp_key_part_read(RP_KEY_PART "j-1/03", job, &part) && part == 3);
+    assert_false(rp_key_part_read(RP_KEY_PART "j-1/64", job, &part));
+    assert_false(rp_key_part_read(RP_KEY_PART "j-1", job, &part));
+}
+
 int main(void) {
-    const struct CMUnitTest tests[] = {
-        cmocka_unit_test(submissions), cmocka_unit_test(bad_submissions),
-        cmocka_unit_test(reports),     cmocka_unit_test(answers_fit),
-        cmocka_unit_test(progress),    cmocka_unit_test(mutated_messages)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(submissions),
+                                       cmocka_unit_test(bad_submissions),
+                                       cmocka_unit_test(reports),
+                                       cmocka_unit_test(answers_fit),
+                                       cmocka_unit_test(progress),
+                                       cmocka_unit_test(mutated_messages),
+                                       cmocka_unit_test(records_of_production),
+                                       cmocka_unit_test(records_of_today)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
