--- a/src/jobs.c
+++ b/src/jobs.c
@@ -54,6 +54,7 @@
     memset(t, 0, sizeof *t);
     t->upgrade = upgrade;
     t->flush_most = FLUSH_MOST;
+    t->ops_most = settings->state_fit.txn_ops;
     t->loop = loop;
     t->state = state;
     t->election = election;
@@ -253,7 +254,7 @@
 /* Adds deletions up to the transaction's limit, and takes them off the set. */
 static void delete_stored(const struct rp_jobs *t, json_t *txn, const char *job,
                           struct rp_stored *stored) {
-    size_t most = t->settings->state_fit.txn_ops;
+    size_t most = t->ops_most;
     char key[RP_KEY_MAX];
     for (unsigned i = 0; i < 64 && rp_wire_txn_ops(txn) < most; i++)
         if (i < 32 && (stored->chunks >> i & 1)) {
@@ -275,6 +276,13 @@
         }
 }
 
+/* The service refused a transaction whose values are none or tiny: fewer changes in the next. What
+ * has to be atomic, a job's move, takes two, and always goes. */
+static void fewer_ops(struct rp_jobs *t) {
+    t->ops_most = t->ops_most > 2 ? t->ops_most / 2 : 1;
+    rp_error("state service takes fewer changes at once than told: now %zu", t->ops_most);
+}
+
 static void swept(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
@@ -288,7 +296,9 @@
         sweep->stored.chunks &= ~r->swept.chunks;
         sweep->stored.units &= ~r->swept.units;
         sweep->stored.parts &= ~r->swept.parts;
-    } else if (result->outcome == RP_STATE_CONFLICT || result->outcome == RP_STATE_BAD) {
+    } else if (result->outcome == RP_STATE_BAD) {
+        fewer_ops(t);
+    } else if (result->outcome == RP_STATE_CONFLICT) {
         /* The job is there after all, or somebody else leads: nothing of it may go. */
         sweep->stored = (struct rp_stored){0};
     }
@@ -304,8 +314,7 @@
 static void sweep_some(struct rp_jobs *t) {
     struct rp_sweep *sweep = t->sweeps;
     char key[RP_KEY_MAX];
-    if (!sweep || t->sweeping ||
-        rp_state_room(t->state, RP_SHARE_LEADER) < (double)t->settings->state_fit.txn_ops)
+    if (!sweep || t->sweeping || rp_state_room(t->state, RP_SHARE_LEADER) < (double)t->ops_most)
         return;
     struct request *r = request_new(t);
     json_t *txn = rp_wire_txn();
@@ -682,7 +691,7 @@
                rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
         rp_election_doubt(t->election);
     } else if (result->outcome == RP_STATE_BAD) {
-        t->lean = true;
+        fewer_ops(t);
         job->flush_held = rp_ts_after(rp_loop_now(t->loop), FLUSH_HOLD_S);
     }
     /* Another conflict means that the job was cancelled, or that an unanswered try went through:
@@ -710,8 +719,7 @@
     /* The move itself is atomic; the records that nobody reads any more go as they fit, with it or
      * after it. */
     r->left = job->stored;
-    if (!t->lean)
-        delete_stored(t, txn, job->spec.id, &r->left);
+    delete_stored(t, txn, job->spec.id, &r->left);
     rp_state_txn(t->state, RP_SHARE_LEADER, txn, finished, r);
 }
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -99,6 +99,42 @@
     rp_settings_free(&s);
 }
 
+/* Limits of the state service that are to come: what fits both is used; a bad one is named. */
+static void limits_to_come(void **state) {
+    static const struct {
+        const char *next, *told;
+        double value_kb;
+    } cases[] = {{"null", NULL, 8},
+                 {"{}", NULL, 8},
+                 {"{\"value_kb\":2,\"txn_ops\":4,\"write_rps\":15,\"later\":1}", NULL, 2},
+                 {"{\"value_kb\":64}", NULL, 8},
+                 {"7", "params.state.next: must be an object", 0},
+                 {"{\"value_kb\":\"2\"}", "params.state.next.value_kb: must be a number", 0},
+                 {"{\"txn_ops\":1}", "params.state.next.txn_ops: must lie between 2", 0},
+                 {"{\"write_rps\":-1}", "params.state.next.write_rps: must lie", 0}};
+    (void)state;
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        struct rp_settings s;
+        char text[2048], with[2400];
+        snprintf(text, sizeof text, platform, 14.0, 39.0, "56");
+        char *at = strstr(text, "\"txn_ops\":8") + strlen("\"txn_ops\":8");
+        snprintf(with, sizeof with, "%.*s,\"next\":%s%s", (int)(at - text), text, cases[i].next,
+                 at);
+        FILE *errors = fmemopen(told, sizeof told, "w");
+        memset(told, 0, sizeof told);
+        int mistakes = rp_settings_parse(&s, with, "p", errors);
+        fclose(errors);
+        if ((mistakes > 0) != (cases[i].told != NULL) ||
+            (cases[i].told && !strstr(told, cases[i].told)))
+            fail_msg("%s told '%s'", cases[i].next, told);
+        if (!cases[i].told) {
+            assert_true(s.state.value_kb == 8 && s.state.txn_ops == 8);
+            assert_true(s.state_fit.value_kb == cases[i].value_kb);
+        }
+        rp_settings_free(&s);
+    }
+}
+
 /* A fixed leader lease contradicted short worker leases: nodes refused to start there. */
 static void leader_lease_fits(void **state) {
     struct rp_settings s;
@@ -151,8 +187,8 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(operators_file), cmocka_unit_test(operators_mistakes),
-        cmocka_unit_test(platform_file), cmocka_unit_test(leader_lease_fits),
-        cmocka_unit_test(random_text)};
+        cmocka_unit_test(operators_file),    cmocka_unit_test(operators_mistakes),
+        cmocka_unit_test(platform_file),     cmocka_unit_test(limits_to_come),
+        cmocka_unit_test(leader_lease_fits), cmocka_unit_test(random_text)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
