--- a/src/jobs.h
+++ b/src/jobs.h
@@ -106,7 +106,7 @@
     bool reading_parts, sweeping, loading;
     size_t n_services; /* open ones */
     size_t flush_most; /* records in a transaction; fewer once the service has refused so many */
-    size_t ops_most; /* changes in a transaction; fewer once the service has refused so many */
+    size_t ops_most;   /* changes in a transaction; fewer once the service has refused so many */
     unsigned long n_unreadable;
     unsigned long generation; /* answers to requests of an earlier leadership are ignored */
     bool active;
--- a/src/node.c
+++ b/src/node.c
@@ -398,6 +398,16 @@
     return v;
 }
 
+static json_t *service_counts(const struct rp_node *n) {
+    const struct rp_services *s = &n->services;
+    return json_pack(
+        "{s:I,s:I,s:I,s:I,s:f,s:f,s:I,s:I}", "jobs", (json_int_t)n->jobs.n_services, "placed",
+        (json_int_t)s->n_placed, "tasks_stopped_for_them", (json_int_t)s->n_made_room, "moved",
+        (json_int_t)s->n_moved, "reserve_cpus", rp_services_reserve_cpus(s), "ready_cpus",
+        n->at == RP_NODE_LEADING ? rp_services_ready_cpus(s, NULL) : 0.0, "direct",
+        (json_int_t)n->workers.n_direct, "direct_unanswered", (json_int_t)n->workers.n_direct_lost);
+}
+
 static char *status_json(const struct rp_node *n) {
     static const char *const states[] = {"following", "recovering", "leading"};
     json_t *wins = json_object();
@@ -406,7 +416,7 @@
                             json_integer((json_int_t)n->round.wins[i]));
     json_t *v = json_pack(
         "{s:s,s:s,s:i,s:s,s:I,s:I,s:I,s:I,s:s,s:s,s:I,s:b,s:o,s:o,s:I,s:o,s:I,s:I,s:I,s:I,s:I,s:I,"
-        "s:I,s:I,s:I,s:o}",
+        "s:o,s:I,s:I,s:I,s:o}",
         "node", n->settings->node, "version", RP_VERSION, "format", RP_FORMAT, "upgrade",
         rp_upgrade_word(&n->upgrade), "nodes_known", (json_int_t)n->upgrade.n_known,
         "state_too_fast", (json_int_t)n->state.n_too_fast, "state_too_large",
@@ -417,8 +427,8 @@
         "plan_winners", wins, "starts", (json_int_t)n->workers.n_starts, "preempted",
         (json_int_t)n->round.n_preempted, "rented", (json_int_t)n->fleet.n_rented, "refused",
         (json_int_t)n->fleet.n_refused, "returned", (json_int_t)n->fleet.n_returned, "accepted",
-        (json_int_t)n->n_accepted, "state_shed", (json_int_t)n->state.n_shed, "stale_reports",
-        (json_int_t)n->workers.n_stale, "over_bounds",
+        (json_int_t)n->n_accepted, "services", service_counts(n), "state_shed",
+        (json_int_t)n->state.n_shed, "stale_reports", (json_int_t)n->workers.n_stale, "over_bounds",
         (json_int_t)(n->workers.n_over_bounds + n->round.n_over_bounds), "latencies",
         rp_metrics_json(&n->metrics));
     char *text = json_dumps(v, JSON_COMPACT);
--- a/src/room.c
+++ b/src/room.c
@@ -580,9 +580,11 @@
         const struct rp_job_spec *spec = &m->places[i].job->spec;
         if (m->places[i].state == RP_PLACE_EXITED)
             continue;
+        /* Replicas are moved one by one (services.c). */
         if (spec->kind == RP_SERVICE)
             r->replicas_moved = now;
-        rp_place_stop(&m->places[i], spec->kind == RP_SERVICE ? 0 : spec->save_s * 1.2 + 1);
+        else
+            rp_place_stop(&m->places[i], spec->save_s * 1.2 + 1);
     }
 }
 
--- a/src/services.c
+++ b/src/services.c
@@ -17,6 +17,7 @@
 #define KEPT_S 0.3  /* a machine that holds services anyway isn't kept longer by one more */
 #define FETCH_LEFT_S 0.3
 #define WATCH_S 0.25
+#define MOVE_PRICE_S 3.0 /* what may speak against the machine that a replica is moved to */
 #define SILENT_SLACK_S 0.6
 #define PROBES 2       /* so many questions without an answer, one after the other */
 #define GONE_SHARE 0.1 /* of the machines: where more are silent, it is a cut that ends */
@@ -233,8 +234,9 @@
     return price + (serves ? 0 : KEPT_S);
 }
 
-static bool place_task(struct rp_services *s, struct rp_job *job, uint32_t task,
-                       struct timespec now) {
+/* The machine on which the task, which is on none, runs soonest; NULL: on none. */
+static struct rp_machine *best_for(const struct rp_services *s, const struct rp_job *job,
+                                   uint32_t task, struct timespec now) {
     static const struct rp_freed all = {{1e12, 1e12, 1e12}, {1e12, 1e12, 1e12}};
     struct rp_machine *best = NULL;
     double best_price = 0;
@@ -246,6 +248,12 @@
         best = m;
         best_price = price;
     }
+    return best;
+}
+
+static bool place_task(struct rp_services *s, struct rp_job *job, uint32_t task,
+                       struct timespec now) {
+    struct rp_machine *best = best_for(s, job, task, now);
     if (!best)
         return false;
     struct rp_freed freed = make_room(s, best, job, now);
@@ -404,7 +412,7 @@
     rp_services_send(s);
 }
 
-/* ---- machines that fall silent with replicas on them ---- */
+/* ---- replicas that are moved ---- */
 
 static bool holds_replicas(const struct rp_machine *m) {
     for (size_t i = 0; i < m->n_places; i++)
@@ -413,6 +421,61 @@
     return false;
 }
 
+/* Whether some replica is missing, or not running yet. */
+static bool any_unsteady(const struct rp_services *s) {
+    for (const struct rp_job *job = s->jobs->first; job; job = job->next)
+        if (job->spec.kind == RP_SERVICE && job->state == RP_JOB_OPEN &&
+            job->n_running < job->spec.n_tasks)
+            return true;
+    return false;
+}
+
+/* Whether the replica could go on at once on another machine. */
+static bool could_go(const struct rp_services *s, const struct rp_machine *from,
+                     const struct rp_place *place, struct timespec now) {
+    struct rp_job *job = place->job;
+    for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+        bool zone = m->zone == from->zone ||
+                    (!job->spec.one_zone && (!job->spec.spread || job->zone_count[m->zone] + 1 <=
+                                                                      (job->spec.n_tasks + 1) / 2));
+        double price = m == from || !zone ? -1 : price_of(s, m, job, now);
+        if (price >= 0 && price < MOVE_PRICE_S && rp_machine_has_image(m, job->image_hash))
+            return true;
+    }
+    return false;
+}
+
+/* A machine that is being emptied, or is faulty, loses its replicas one by one: the next is stopped
+ * once all are running again, and only if another machine holds its image and has room. (Stopped
+ * all together, by the room that a round had seen, the last ones found it taken, and waited for a
+ * machine to boot.) */
+static void drain(struct rp_services *s, struct rp_machine *m, struct timespec now) {
+    for (size_t i = 0; i < m->n_places; i++) {
+        struct rp_place *place = &m->places[i];
+        if (place->state != RP_PLACE_SEEN || place->stop || place->job->spec.kind != RP_SERVICE)
+            continue;
+        if (could_go(s, m, place, now)) {
+            rp_place_stop(place, 0);
+            s->n_moved++;
+        } else {
+            m->emptied = false; /* it stays */
+        }
+        return;
+    }
+}
+
+static void drain_one(struct rp_services *s, struct timespec now) {
+    if (any_unsteady(s))
+        return;
+    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+        if (m->state == RP_MACHINE_UP && (m->emptied || m->faulty) && holds_replicas(m)) {
+            drain(s, m, now);
+            return;
+        }
+}
+
+/* ---- machines that fall silent with replicas on them ---- */
+
 static bool few_silent(const struct rp_services *s, struct timespec now) {
     size_t known = 0, silent = 0;
     for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
@@ -452,5 +515,6 @@
     bool few = few_silent(s, now);
     for (struct rp_machine *m = s->picture->first; m; m = m->next)
         watch_machine(s, m, few, now);
+    drain_one(s, now);
     rp_services_run(s);
 }
--- a/src/services.h
+++ b/src/services.h
@@ -24,7 +24,7 @@
     struct rp_service_flow flow;
     uint64_t counted; /* the newest job that the flow has counted, by its revision */
     struct rp_timer watch;
-    unsigned long n_placed, n_made_room;
+    unsigned long n_placed, n_made_room, n_moved;
 };
 
 void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_picture *picture,
