--- a/src/services.c
+++ b/src/services.c
@@ -16,6 +16,7 @@
 #define GPU_S 120.0 /* such machines are wanted whole, and cost many times as much */
 #define KEPT_S 0.3  /* a machine that holds services anyway isn't kept longer by one more */
 #define FETCH_LEFT_S 0.3
+#define NEXT_REPORT_S 1.5 /* where a start has to go with the next report's answer */
 #define WATCH_S 0.25
 #define MOVE_PRICE_S 3.0 /* what may speak against the machine that a replica is moved to */
 #define SILENT_SLACK_S 0.6
@@ -230,6 +231,7 @@
     price += same * SAME_MACHINE_S + zone_excess(s, job, m->zone) * SAME_ZONE_S;
     for (unsigned i = 0; i < job->n_error_on; i++)
         price += strcmp(job->error_on[i], m->name) == 0 ? FAILED_HERE_S : 0;
+    price += rp_workers_direct_full(m) ? NEXT_REPORT_S : 0;
     price += ERROR_S * m->errors_row + (m->spot ? SPOT_S : 0) + (gpus ? GPU_S : 0);
     return price + (serves ? 0 : KEPT_S);
 }
@@ -421,12 +423,16 @@
     return false;
 }
 
-/* Whether some replica is missing, or not running yet. */
+/* Whether some replica is missing, being stopped, or not running yet. */
 static bool any_unsteady(const struct rp_services *s) {
     for (const struct rp_job *job = s->jobs->first; job; job = job->next)
         if (job->spec.kind == RP_SERVICE && job->state == RP_JOB_OPEN &&
             job->n_running < job->spec.n_tasks)
             return true;
+    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++)
+            if (m->places[i].job->spec.kind == RP_SERVICE && going(&m->places[i]))
+                return true;
     return false;
 }
 
--- a/src/workers.c
+++ b/src/workers.c
@@ -16,8 +16,9 @@
 #define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
-#define DIRECT_S 1.0          /* for the answer to a direct command */
-#define DIRECT_KEPT 64        /* ended attempts started directly that a machine may have to keep */
+#define DIRECT_S 1.0    /* for the answer to a direct command */
+#define DIRECT_KEPT 192 /* ended attempts started directly that its reports, of 64 KiB, may list   \
+                         */
 #define REPLICA_STEADY_S 30.0 /* a replica that ran for so long has not failed at its start */
 #define REPLICA_PAUSE_S 0.5
 #define REPLICA_PAUSE_MAX_S 30.0
@@ -695,11 +696,11 @@
     direct_free(d);
 }
 
-static size_t kept_known(const struct rp_machine *m) {
+bool rp_workers_direct_full(const struct rp_machine *m) {
     size_t n = 0;
     for (size_t i = 0; i < m->n_places; i++)
         n += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
-    return n;
+    return n >= DIRECT_KEPT;
 }
 
 static void note_attempts(struct direct *d, const struct batch *b) {
@@ -712,7 +713,7 @@
     struct timespec now = rp_loop_now(w->loop);
     struct batch b = {.list = calloc(COMMANDS_MAX, sizeof *b.list)};
     /* Else it goes with the answer to the next report. */
-    if (!b.list || !rp_machine_usable(m) || !*m->addr || kept_known(m) >= DIRECT_KEPT ||
+    if (!b.list || !rp_machine_usable(m) || !*m->addr || rp_workers_direct_full(m) ||
         !rp_election_valid(w->election, now))
         goto out;
     for (size_t i = 0; i < m->n_places; i++) {
--- a/src/workers.h
+++ b/src/workers.h
@@ -42,6 +42,8 @@
 /* Sends the machine at once, not with the answer to its next report, what room for services takes:
  * stops that give no time to save, then the starts of replicas. */
 void rp_workers_direct(struct rp_workers *w, struct rp_machine *m);
+/* The machine has to keep so many ended attempts known that it gets no more direct starts. */
+bool rp_workers_direct_full(const struct rp_machine *m);
 /* Asks a machine that has been silent whether it is there. */
 void rp_workers_probe(struct rp_workers *w, struct rp_machine *m);
 /* A round has been run, or none will be: the reports that waited for it are answered. */
