--- a/src/services.c
+++ b/src/services.c
@@ -20,10 +20,11 @@
 #define WATCH_S 0.25
 #define MOVE_PRICE_S 3.0 /* what may speak against the machine that a replica is moved to */
 #define SILENT_SLACK_S 0.6
-#define PROBES 2       /* so many questions without an answer, one after the other */
-#define GONE_SHARE 0.1 /* of the machines: where more are silent, it is a cut that ends */
-#define LED_S 3.0      /* a new leader has heard of every machine that is there by then */
-#define FLOW_S 60.0    /* time constant of what is remembered of arrivals */
+#define PROBE_SLACK_S 0.15 /* a report later than this is asked for */
+#define PROBES 2           /* so many questions without an answer, one after the other */
+#define GONE_SHARE 0.1     /* of the machines: where more are silent, it is a cut that ends */
+#define LED_S 3.0          /* a new leader has heard of every machine that is there by then */
+#define FLOW_S 60.0        /* time constant of what is remembered of arrivals */
 
 static void watch_due(void *arg);
 
@@ -501,7 +502,8 @@
                           struct timespec now) {
     if (m->state != RP_MACHINE_UP || !holds_replicas(m))
         return;
-    if (fresh(s, m, now)) {
+    double silent = rp_ts_since(now, m->last_heard) - 1.25 * s->settings->report_s;
+    if (silent < PROBE_SLACK_S) {
         m->probes_failed = 0;
         return;
     }
--- a/src/workers.c
+++ b/src/workers.c
@@ -16,9 +16,11 @@
 #define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
-#define DIRECT_S 1.0    /* for the answer to a direct command */
-#define DIRECT_KEPT 192 /* ended attempts started directly that its reports, of 64 KiB, may list   \
-                         */
+#define PROBE_S 0.7  /* for the answer to a question */
+#define DIRECT_S 1.0 /* for the answer to a direct command */
+#define DIRECT_KEPT                                                                                \
+    192 /* ended attempts started directly that its reports, of 64 KiB, may list                   \
+         */
 #define REPLICA_STEADY_S 30.0 /* a replica that ran for so long has not failed at its start */
 #define REPLICA_PAUSE_S 0.5
 #define REPLICA_PAUSE_MAX_S 30.0
@@ -762,7 +764,7 @@
     m->probing = true;
     m->probed = rp_loop_now(w->loop);
     m->n_direct++;
-    w->net.call_once(w->net.ctx, m->addr, "GET", RP_PATH_SHOW, NULL, DIRECT_S, probe_answered,
+    w->net.call_once(w->net.ctx, m->addr, "GET", RP_PATH_SHOW, NULL, PROBE_S, probe_answered,
                      direct_new(w, m, 0));
 }
 
