--- a/src/jobs.c
+++ b/src/jobs.c
@@ -1,5 +1,6 @@
 #include "jobs.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +11,10 @@
 #define FOLLOW_HOLD_S 3.0
 #define DEAF_S 14.0 /* without news from the watch */
 #define FLUSH_EVERY_S 0.25
-#define FLUSH_MOST 24     /* records of some 2.2 KB each: a transaction may have 64 KiB */
-#define FLUSH_AGE_S 2.0   /* progress waits this long for company; a finished job never does */
+#define FLUSH_MOST 24   /* records of some 2.2 KB each: a transaction may have 64 KiB */
+#define FLUSH_AGE_S 2.0 /* progress waits this long for company; a finished job never does */
+#define FINISH_ROOM 3.0
+#define FINISH_SHARE 0.1
 #define FLUSH_HOLD_S 5.0  /* after the service has refused a single record as too large */
 #define PROGRESS_FRAME 16 /* bytes of a progress record besides its digits */
 
@@ -252,9 +255,7 @@
 }
 
 /* Adds deletions up to the transaction's limit, and takes them off the set. */
-static void delete_stored(const struct rp_jobs *t, json_t *txn, const char *job,
-                          struct rp_stored *stored) {
-    size_t most = t->ops_most;
+static void delete_stored(json_t *txn, const char *job, struct rp_stored *stored, size_t most) {
     char key[RP_KEY_MAX];
     for (unsigned i = 0; i < 64 && rp_wire_txn_ops(txn) < most; i++)
         if (i < 32 && (stored->chunks >> i & 1)) {
@@ -314,7 +315,8 @@
 static void sweep_some(struct rp_jobs *t) {
     struct rp_sweep *sweep = t->sweeps;
     char key[RP_KEY_MAX];
-    if (!sweep || t->sweeping || rp_state_room(t->state, RP_SHARE_LEADER) < (double)t->ops_most)
+    double room = rp_state_room(t->state, RP_SHARE_LEADER);
+    if (!sweep || t->sweeping || room < 1)
         return;
     struct request *r = request_new(t);
     json_t *txn = rp_wire_txn();
@@ -323,7 +325,7 @@
     rp_election_guard(t->election, txn);
     rp_key(key, RP_KEY_OPEN, sweep->job);
     rp_wire_txn_if(txn, key, 0);
-    delete_stored(t, txn, sweep->job, &left);
+    delete_stored(txn, sweep->job, &left, room < (double)t->ops_most ? (size_t)room : t->ops_most);
     r->swept = (struct rp_stored){.chunks = sweep->stored.chunks & ~left.chunks,
                                   .units = sweep->stored.units & ~left.units,
                                   .parts = sweep->stored.parts & ~left.parts};
@@ -719,7 +721,7 @@
     /* The move itself is atomic; the records that nobody reads any more go as they fit, with it or
      * after it. */
     r->left = job->stored;
-    delete_stored(t, txn, job->spec.id, &r->left);
+    delete_stored(txn, job->spec.id, &r->left, t->ops_most);
     rp_state_txn(t->state, RP_SHARE_LEADER, txn, finished, r);
 }
 
@@ -824,7 +826,9 @@
  * budget take: the more there is, the fuller the transactions. */
 static void flush(struct rp_jobs *t) {
     struct timespec now = rp_loop_now(t->loop);
-    double room = rp_state_room(t->state, RP_SHARE_LEADER) - 3; /* left for finishing jobs */
+    /* Some is left for finishing jobs; where few changes a second are allowed, less of it. */
+    double room = rp_state_room(t->state, RP_SHARE_LEADER) -
+                  fmin(FINISH_ROOM, t->settings->state_fit.write_rps * FINISH_SHARE);
     size_t limit = t->settings->state_fit.txn_ops;
     size_t most = limit < t->flush_most ? limit : t->flush_most;
     if (room < 1)
--- a/src/node.c
+++ b/src/node.c
@@ -367,6 +367,9 @@
 static json_t *class_counts(const struct rp_node *n) {
     json_t *classes = json_object();
     for (const struct rp_job *job = n->jobs.first; job; job = job->next) {
+        /* What is over stays in the table while machines still list some of it. */
+        if (job->state == RP_JOB_CLOSED)
+            continue;
         json_t *c = json_object_get(classes, job->spec.class_name);
         if (!c) {
             c = json_pack("{s:i,s:i,s:i,s:i}", "jobs", 0, "waiting", 0, "placed", 0, "running", 0);
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -12,6 +12,7 @@
 #define QUEUE_LEADER_S 4.0
 #define TRIES_429 3
 #define BURST_SHARE 0.25
+#define LEADER_BURST 2.0 /* changes at once, at least: a job's move */
 
 struct rp_state_call {
     struct rp_state_client *client;
@@ -45,7 +46,7 @@
     double part = 1.2 / (double)c->n_nodes;
     set_rate(&c->requests[RP_SHARE_LEADER], rps * 0.3, rps * 0.25, now);
     set_rate(&c->writes[RP_SHARE_LEADER], write_rps * c->leader_write_share * 0.9,
-             write_rps * c->leader_write_share * 0.6, now);
+             fmax(write_rps * c->leader_write_share * 0.6, LEADER_BURST), now);
     set_rate(&c->requests[RP_SHARE_QUERIES], rps * 0.45 * part, rps * 0.35 * part, now);
     set_rate(&c->requests[RP_SHARE_SUBMISSIONS], rps * 0.1 * part, rps * 0.05, now);
     /* Submissions come in bursts, and no node knows of the others': a node may let a quarter of a
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -397,6 +397,25 @@
     sim_free(s);
 }
 
+/* Few changes a second, told beforehand: progress and sweeps got no turn at all where what was kept
+ * free for finishing jobs was more than the budget ever held. */
+static void few_changes_a_second(void **state) {
+    static const struct sim_size slow = {64, 6, 2, 14, 39, 200, 6, 5};
+    struct sim *s = sim_new_sized(53, &none, SIM_SOUND, 3, &slow);
+    (void)state;
+    sim_run(s, 5);
+    sim_lower_limits(s);
+    for (int i = 0; i < 3; i++)
+        sim_submit(s, 6, "sweep", 40, 1, 30 + 5 * i, 0);
+    sim_run(s, 50);
+    assert_true(sim_count_stored(s, RP_KEY_PROGRESS) > 0);
+    sim_run(s, 180);
+    expect_sound(s, 53);
+    assert_true(sim_all_over(s));
+    assert_int_equal(sim_count_stored(s, RP_KEY_PROGRESS), 0);
+    sim_free(s);
+}
+
 /* Records that can't be read, or are of a later version, stay as they are and harm nothing else. */
 static void strange_records(void **state) {
     static const char *const odd[][2] = {
@@ -481,6 +500,7 @@
                                        cmocka_unit_test(large_records_end),
                                        cmocka_unit_test(long_descriptions),
                                        cmocka_unit_test(limits_below_all_promises),
+                                       cmocka_unit_test(few_changes_a_second),
                                        cmocka_unit_test(strange_records),
                                        cmocka_unit_test(broken_rolls_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
