--- a/src/services.c
+++ b/src/services.c
@@ -22,7 +22,8 @@
 #define SILENT_SLACK_S 0.6
 #define PROBE_SLACK_S 0.15 /* a report later than this is asked for */
 #define PROBES 2           /* so many questions without an answer, one after the other */
-#define GONE_SHARE 0.1     /* of the machines: where more are silent, it is a cut that ends */
+#define GONE_SHARE 0.2     /* of the machines: where more are silent, it is a cut that ends */
+#define ZONE_SHARE 0.4     /* the same of a zone's */
 #define LED_S 3.0          /* a new leader has heard of every machine that is there by then */
 #define FLOW_S 60.0        /* time constant of what is remembered of arrivals */
 
@@ -483,22 +484,33 @@
 
 /* ---- machines that fall silent with replicas on them ---- */
 
-static bool few_silent(const struct rp_services *s, struct timespec now) {
-    size_t known = 0, silent = 0;
+/* The zones (bit set) in which so many machines are silent that it is a cut that ends, rather than
+ * machines that hang or have died; all of them where that holds for the whole fleet. At the
+ * beginning of a zone's cut its machines fall silent within one report's time, before the first is
+ * given back. */
+static uint32_t zones_in_doubt(const struct rp_services *s, struct timespec now) {
+    double known[RP_ZONES_MAX] = {0}, silent[RP_ZONES_MAX] = {0}, all = 0, all_silent = 0;
+    uint32_t zones = 0;
     for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
-        if (m->session == 0 || m->state == RP_MACHINE_RETURNING)
+        if (m->session == 0 || m->zone < 0 || m->state == RP_MACHINE_RETURNING)
             continue;
-        known++;
-        silent += !fresh(s, m, now);
+        known[m->zone]++;
+        silent[m->zone] += !fresh(s, m, now);
     }
-    return (double)silent <= fmax(1, GONE_SHARE * (double)known);
+    for (int z = 0; z < RP_ZONES_MAX; z++) {
+        all += known[z];
+        all_silent += silent[z];
+        if (silent[z] > fmax(1, ZONE_SHARE * known[z]))
+            zones |= UINT32_C(1) << z;
+    }
+    return all_silent > fmax(1, GONE_SHARE * all) ? UINT32_MAX : zones;
 }
 
 /* A machine that hangs or has died takes its replicas with it, and nobody may start them elsewhere
  * before its lease is over, unless it is certainly gone: the cloud's answer to its deletion makes
  * that certain within a moment. So one that neither reports nor answers questions is given back.
  * Not where many are silent: then it is the network, behind which they go on. */
-static void watch_machine(struct rp_services *s, struct rp_machine *m, bool few,
+static void watch_machine(struct rp_services *s, struct rp_machine *m, uint32_t doubt,
                           struct timespec now) {
     if (m->state != RP_MACHINE_UP || !holds_replicas(m))
         return;
@@ -507,7 +519,8 @@
         m->probes_failed = 0;
         return;
     }
-    if (m->probes_failed >= PROBES && few && !rp_fleet_zone_out(s->fleet, m->zone) &&
+    bool cut = m->zone >= 0 && (doubt >> m->zone & 1);
+    if (m->probes_failed >= PROBES && !cut && !rp_fleet_zone_out(s->fleet, m->zone) &&
         rp_ts_since(now, s->fleet->led_since) > s->settings->report_s * 1.25 + LED_S)
         rp_fleet_return(s->fleet, m, "silent, and replicas wait for it");
     else
@@ -520,9 +533,9 @@
     rp_timer_set(s->loop, &s->watch, WATCH_S);
     if (s->jobs->n_services == 0 || !rp_election_valid(s->workers->election, now))
         return;
-    bool few = few_silent(s, now);
+    uint32_t doubt = zones_in_doubt(s, now);
     for (struct rp_machine *m = s->picture->first; m; m = m->next)
-        watch_machine(s, m, few, now);
+        watch_machine(s, m, doubt, now);
     drain_one(s, now);
     rp_services_run(s);
 }
