--- a/src/node.c
+++ b/src/node.c
@@ -50,6 +50,7 @@
         return -1;
     rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->picture, &n->jobs, s,
                   &n->catalog);
+    rp_hints_init(&n->hints, loop, net, &n->election, &n->picture, s);
     if (rp_metrics_init(&n->metrics) < 0)
         return -1;
     rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s,
@@ -78,6 +79,7 @@
 void rp_node_start(struct rp_node *n) {
     rp_timer_set(n->loop, &n->catalog_timer, 0);
     rp_upgrade_start(&n->upgrade);
+    rp_hints_start(&n->hints);
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
     rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
 }
@@ -91,6 +93,7 @@
     rp_services_stop(&n->services);
     rp_election_stop(&n->election);
     rp_upgrade_stop(&n->upgrade);
+    rp_hints_close(&n->hints);
     rp_timer_cancel(n->loop, &n->catalog_timer);
     rp_timer_cancel(n->loop, &n->summary_timer);
     rp_timer_cancel(n->loop, &n->retry_timer);
@@ -181,6 +184,7 @@
         break;
     case RP_NODE_LEADING:
         rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->picture.n_machines);
+        rp_hints_lead(&n->hints);
         rp_services_start(&n->services);
         rp_round_start(&n->round);
         break;
@@ -449,6 +453,8 @@
     bool get = strcmp(req->method, "GET") == 0;
     if (get && strcmp(req->target, PATH_SUMMARY) == 0 && n->at == RP_NODE_LEADING)
         respond_text(req, summary_json(n));
+    else if (get && strcmp(req->target, RP_PATH_HINTS) == 0)
+        respond_text(req, rp_hints_json(&n->hints));
     else if (get && strcmp(req->target, PATH_HEALTH) == 0)
         req->respond(req, 200,
                      n->state.n_ok > 0 && rp_state_failing_s(&n->state) <= 0
--- a/src/node.h
+++ b/src/node.h
@@ -5,6 +5,7 @@
 #include "cloud_client.h"
 #include "election.h"
 #include "fleet.h"
+#include "hints.h"
 #include "jobs.h"
 #include "metrics.h"
 #include "net.h"
@@ -39,6 +40,7 @@
     struct rp_workers workers;
     struct rp_services services;
     struct rp_round round;
+    struct rp_hints hints;
     struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
     struct rp_timer room_timer, health_timer;
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -343,6 +343,27 @@
     sim_free(s);
 }
 
+/* A new leader knew only of the images of tasks that ran, and sent work, replicas above all, to
+ * machines that had to fetch: the others remember for it, and tell one that was away. */
+static void takeover_keeps_images(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(16, &none, SIM_SOUND, 3);
+    size_t with_image = 0, still = 0;
+    (void)state;
+    sim_submit(s, 1, "sweep", 40, 1, 8, 0);
+    sim_submit(s, 22, "service", 2, 1, 0, 100);
+    sim_run(s, 32);
+    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->picture.first; m; m = m->next)
+        with_image += m->n_images > 0;
+    assert_true(with_image >= 3);
+    sim_crash(s, sim_leader(s), 0.3);
+    sim_run(s, 2);
+    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->picture.first; m; m = m->next)
+        still += m->n_images > 0;
+    assert_int_equal(still, with_image);
+    sim_free(s);
+}
+
 /* Gangs of whole machines starved on a full fleet, where what falls free is taken by what needs
  * less: their machines are gathered. And a cloud that has no more is not asked all the time. */
 static void large_gangs_begin_on_a_full_fleet(void **state) {
@@ -647,6 +668,7 @@
                                        cmocka_unit_test(ghost_is_no_machine),
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(takeover_keeps_gangs),
+                                       cmocka_unit_test(takeover_keeps_images),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
                                        cmocka_unit_test(whole_machine_task_begins_on_a_full_fleet),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
