--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -195,6 +195,71 @@
         close(fds[i]);
 }
 
+struct outcome {
+    struct rp_loop *loop;
+    int status;
+    bool unsent;
+};
+
+static void note_outcome(void *arg, const struct rp_answer *answer) {
+    struct outcome *o = arg;
+    o->status = answer->status;
+    o->unsent = answer->unsent;
+    rp_loop_stop(o->loop);
+}
+
+static void answer_only(void *arg, struct rp_request *req) {
+    (void)arg;
+    req->respond(req, 200, "{}", 0);
+}
+
+static void say_nothing(void *arg, struct rp_request *req) {
+    *(struct rp_request **)arg = req; /* answered when nobody waits any more */
+}
+
+static struct outcome call_once(struct rp_loop *loop, struct rp_net net, const char *addr,
+                                double timeout_s) {
+    struct outcome o = {.loop = loop};
+    net.call_once(net.ctx, addr, "POST", "/do", "{}", timeout_s, note_outcome, &o);
+    loop->stopping = false;
+    assert_int_equal(rp_loop_run(loop), 0);
+    return o;
+}
+
+/* A start that was certainly not sent may be made elsewhere at once, any other may not: a refused
+ * connection tells the one, silence after the request the other. */
+static void unsent_is_known(void **state) {
+    struct rp_loop loop;
+    struct rp_http_server server;
+    struct rp_http_client client;
+    struct rp_http_limits limits = {8, 1000, 60, 60, 60};
+    struct rp_request *silent = NULL;
+    char addr[32];
+    int rc = -1;
+    (void)state;
+    assert_int_equal(rp_loop_init(&loop, false), 0);
+    rp_http_client_init(&client, &loop, 2, 8, 1000);
+    struct rp_net net = rp_http_client_net(&client);
+    for (int port = 41000 + (int)getpid() % 20000, i = 0; rc < 0 && i < 100; i++) {
+        snprintf(addr, sizeof addr, "127.0.0.1:%d", port + i);
+        rc = rp_http_server_open(&server, &loop, addr, &limits, answer_only, NULL);
+    }
+    assert_int_equal(rc, 0);
+    struct outcome o = call_once(&loop, net, addr, 30);
+    assert_true(o.status == 200 && !o.unsent);
+    assert_int_equal(client.n_open, 0); /* its connection isn't kept */
+    server.fn = say_nothing;
+    server.arg = &silent;
+    o = call_once(&loop, net, addr, 2);
+    assert_true(o.status == 0 && !o.unsent && silent);
+    silent->respond(silent, 200, "{}", 0);
+    rp_http_server_close(&server);
+    o = call_once(&loop, net, addr, 30);
+    assert_true(o.status == 0 && o.unsent);
+    rp_http_client_close(&client);
+    rp_loop_close(&loop);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(whole_and_split),
                                        cmocka_unit_test(chunks),
@@ -202,6 +267,7 @@
                                        cmocka_unit_test(malformed),
                                        cmocka_unit_test(limits),
                                        cmocka_unit_test(random_bytes),
-                                       cmocka_unit_test(idle_connections_make_room)};
+                                       cmocka_unit_test(idle_connections_make_room),
+                                       cmocka_unit_test(unsent_is_known)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
