--- a/src/services.c
+++ b/src/services.c
@@ -18,6 +18,8 @@
 #define FETCH_LEFT_S 0.3
 #define NEXT_REPORT_S 1.5 /* where a start has to go with the next report's answer */
 #define WATCH_S 0.25
+#define KEPT_LEAST 300   /* ended attempts that are kept known, in all, */
+#define KEPT_EACH 24     /* and for each machine */
 #define MOVE_PRICE_S 3.0 /* what may speak against the machine that a replica is moved to */
 #define SILENT_SLACK_S 0.6
 #define PROBE_SLACK_S 0.15 /* a report later than this is asked for */
@@ -527,12 +529,28 @@
         rp_workers_probe(s->workers, m);
 }
 
+/* Ended attempts that were started directly stay in their machines' reports for as long as the
+ * token is ours (workers.c). Over days of services that come and go they would fill the reports:
+ * once there are many, another term begins, under which workers may forget them. */
+static bool much_to_forget(const struct rp_services *s) {
+    size_t kept = 0;
+    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+        for (size_t i = 0; i < m->n_places; i++)
+            kept += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
+    return kept > KEPT_LEAST && kept > KEPT_EACH * s->picture->n_machines;
+}
+
 static void watch_due(void *arg) {
     struct rp_services *s = arg;
     struct timespec now = rp_loop_now(s->loop);
     rp_timer_set(s->loop, &s->watch, WATCH_S);
     if (s->jobs->n_services == 0 || !rp_election_valid(s->workers->election, now))
         return;
+    if (much_to_forget(s)) {
+        rp_info("many ended attempts are kept known: another term lets workers forget them");
+        rp_election_resign(s->workers->election, 0);
+        return;
+    }
     uint32_t doubt = zones_in_doubt(s, now);
     for (struct rp_machine *m = s->picture->first; m; m = m->next)
         watch_machine(s, m, doubt, now);
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -109,6 +109,32 @@
     sim_free(s);
 }
 
+/* What is kept known of direct starts doesn't grow for ever: another term lets workers forget it.
+ */
+static void ended_attempts_are_forgotten(void **state) {
+    struct sim *s = sim_new(54, &none, SIM_SOUND, 3);
+    size_t listed = 0;
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 12; i++)
+        sim_submit(s, 1 + i * 14, "service", 40, 1, 0, 30 + i * 14);
+    sim_run(s, 60);
+    uint64_t token = s->nodes[sim_leader(s)].node->election.token;
+    sim_run(s, 160);
+    assert_true(sim_leader(s) >= 0);
+    assert_true(s->nodes[sim_leader(s)].node->election.token > token);
+    sim_run(s, 10);
+    for (int i = 0; i < s->size.workers; i++)
+        for (int k = 0; s->workers[i].used && k < s->workers[i].n_tasks; k++)
+            listed += s->workers[i].tasks[k].state == RP_TASK_EXITED;
+    assert_true(listed < 300);
+    sim_run(s, 60);
+    expect_sound(s, 54);
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
 static void service_days(int nodes, const struct sim_faults *f, unsigned long first, int days) {
     for (unsigned long seed = first; seed < first + (unsigned long)days; seed++) {
         struct sim *s = sim_new(seed, f, SIM_SOUND, nodes);
@@ -491,6 +517,7 @@
     const struct CMUnitTest tests[] = {cmocka_unit_test(replicas_stand),
                                        cmocka_unit_test(hung_machine_frees_replicas),
                                        cmocka_unit_test(bad_image_costs_little),
+                                       cmocka_unit_test(ended_attempts_are_forgotten),
                                        cmocka_unit_test(services_in_trouble),
                                        cmocka_unit_test(services_in_everything),
                                        cmocka_unit_test(rolls),
