--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -469,6 +469,23 @@
     sim_free(s);
 }
 
+/* A node that comes back of this version once a later one's format is active keeps away. */
+static void too_old_keeps_away(void **state) {
+    struct sim *s = sim_new(55, &none, SIM_SOUND, 3);
+    (void)state;
+    sim_run(s, 5);
+    assert_true(sim_leader(s) >= 0);
+    sim_store(s, RP_KEY_FORMAT, "{\"f\":3}");
+    for (int i = 0; i < s->n_nodes; i++)
+        sim_crash(s, i, 0.5);
+    sim_run(s, 20);
+    assert_int_equal(sim_leader(s), -1);
+    for (int i = 0; i < s->n_nodes; i++)
+        assert_false(rp_node_healthy(s->nodes[i].node));
+    expect_sound(s, 55);
+    sim_free(s);
+}
+
 /* The checks can fail. */
 static void broken_rolls_are_caught(void **state) {
     (void)state;
@@ -529,6 +546,7 @@
                                        cmocka_unit_test(limits_below_all_promises),
                                        cmocka_unit_test(few_changes_a_second),
                                        cmocka_unit_test(strange_records),
+                                       cmocka_unit_test(too_old_keeps_away),
                                        cmocka_unit_test(broken_rolls_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     load_old(getenv("RP_OLD_NODE"));
