--- a/src/round.c
+++ b/src/round.c
@@ -138,7 +138,11 @@
             wanted[plan->puts[p].machine] = true;
     for (size_t i = 0; i < x->in.n_machines; i++) {
         struct rp_machine *m = x->machines[i].ref;
-        if (!m || wanted[i] || !rp_machine_idle(m) || m->state != RP_MACHINE_UP)
+        /* What is kept for a gang stands idle until the last of its machines is free, and no plan
+         * puts anything there: given back at its unit's end, it was rented again at once, for
+         * minutes on end, and the gang never had all of them together. */
+        if (!m || wanted[i] || !rp_machine_idle(m) || m->state != RP_MACHINE_UP ||
+            rp_room_reserved_for(r, m))
             continue;
         double age = rp_ts_since(now, m->rented);
         double into = fmod(age, t->billing_unit_s);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -384,6 +384,38 @@
     sim_free(s);
 }
 
+/* Machines that were kept for a gang, and idle until the last of them was free, went back at their
+ * unit's end, were rented again and booted, for minutes: the gang never had all of them together.
+ */
+static void kept_machines_stay(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(17, &none, SIM_SOUND, 3);
+    int kept = 0;
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 14; i++)
+        sim_submit(s, 1 + i * 2, "sweep", 40, 2, 45, 0);
+    sim_run(s, 45);
+    for (int i = 0; i < 4; i++)
+        sim_submit(s, s->now + i, "ensemble", 6, 24, 20, 0);
+    for (int i = 0; i < 900; i++) {
+        sim_run(s, 0.1);
+        const struct rp_node *n = s->nodes[sim_leader(s)].node;
+        for (const struct rp_machine *m = n->picture.first; m; m = m->next) {
+            const struct rp_job *job = *m->reserved ? rp_jobs_find(&n->jobs, m->reserved) : NULL;
+            if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || m->faulty ||
+                m->noticed || rp_ts_reached(rp_loop_now(n->loop), m->reserved_until))
+                continue;
+            kept += m->n_places == 0;
+            assert_int_equal(m->state, RP_MACHINE_UP);
+        }
+    }
+    assert_true(kept > 50);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* Incident f8f1: gangs of one task that takes a whole machine waited for seven minutes behind small
  * work of their own priority, which took each place that fell free. */
 static void whole_machine_task_begins_on_a_full_fleet(void **state) {
@@ -670,6 +702,7 @@
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(takeover_keeps_images),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
+                                       cmocka_unit_test(kept_machines_stay),
                                        cmocka_unit_test(whole_machine_task_begins_on_a_full_fleet),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
                                        cmocka_unit_test(cut_zone_keeps_its_machines),
