An answer to an earlier term's renewal proves nothing; who resigned stands back

Found in going through the election for late answers and late ends of leases. An answer to a renewal of the term before counted for the one under way: it could prove a lease that nobody had renewed, or end a sound term. And a node that had given the key up claimed it over in its own name as long as the end of its lease wasn't carried out. Both tests fail without the mend.

--- a/src/election.c
+++ b/src/election.c
@@ -1,6 +1,7 @@
 #include "election.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include "log.h"
 #include "records.h"
@@ -123,16 +124,19 @@
     struct rp_item item;
     if (r->outcome == RP_STATE_OK)
         e->looked_at = rp_loop_now(e->loop);
+    /* A key that was given up is left to the others, also while the end of its lease, which may be
+     * carried out seconds later, hasn't taken our name away yet. */
+    bool may_claim = rp_ts_reached(rp_loop_now(e->loop), e->stand_back);
     if (r->outcome == RP_STATE_MISSING) {
         e->leader[0] = '\0';
-        if (rp_ts_reached(rp_loop_now(e->loop), e->stand_back)) {
+        if (may_claim) {
             claim(e, 0);
             return;
         }
     }
     if (r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item)) {
         const char *node = rp_record_leader_read(item.value);
-        if (node && strcmp(node, e->node) == 0) {
+        if (node && strcmp(node, e->node) == 0 && may_claim) {
             /* Our own name, though we don't hold: an earlier process of this node, which has
              * ended, or a claim whose answer was lost. Nobody acts on it, so there is no need to
              * wait for its lease. */
@@ -144,9 +148,20 @@
     rp_timer_set(e->loop, &e->timer, r->outcome == RP_STATE_OK ? e->check_s : RETRY_S);
 }
 
+/* A renewal under way: of this lease, asked for at this moment. */
+struct renewal {
+    struct rp_election *e;
+    uint64_t lease;
+    struct timespec asked;
+};
+
 static void touched(void *arg, const struct rp_state_result *r) {
-    struct rp_election *e = arg;
-    if (e->at != RP_HOLDING)
+    struct renewal renewal = *(struct renewal *)arg;
+    struct rp_election *e = renewal.e;
+    free(arg);
+    /* The answer to a renewal of an earlier term's lease says nothing of this one's: taken for it,
+     * it proved a lease that nobody had renewed, or ended a term that was sound. */
+    if (e->at != RP_HOLDING || renewal.lease != e->lease)
         return;
     if (r->outcome == RP_STATE_MISSING) {
         follow_again(e, 0);
@@ -155,13 +170,21 @@
     if (r->outcome == RP_STATE_OK) {
         /* While the lease lives, the key is attached to it and nobody else can have written it:
          * leadership goes on even if it could not be proven for a while. */
-        e->valid_until = rp_election_trust(e->asked, e->ttl_s);
+        e->valid_until = rp_election_trust(renewal.asked, e->ttl_s);
         rp_timer_set(e->loop, &e->timer, fmin(TOUCH_S, e->ttl_s / 8));
         return;
     }
     rp_timer_set(e->loop, &e->timer, RETRY_S);
 }
 
+static void renew(struct rp_election *e) {
+    struct renewal *renewal = calloc(1, sizeof *renewal);
+    if (!renewal)
+        abort(); /* out of memory: a restart is the honest answer */
+    *renewal = (struct renewal){.e = e, .lease = e->lease, .asked = rp_loop_now(e->loop)};
+    rp_state_touch(e->state, e->lease, touched, renewal);
+}
+
 static void doubted(void *arg, const struct rp_state_result *r) {
     struct rp_election *e = arg;
     struct rp_item item;
@@ -189,8 +212,7 @@
 static void tick(void *arg) {
     struct rp_election *e = arg;
     if (e->at == RP_HOLDING) {
-        e->asked = rp_loop_now(e->loop);
-        rp_state_touch(e->state, e->lease, touched, e);
+        renew(e);
     } else if (e->at == RP_FOLLOWING) {
         rp_state_get(e->state, RP_SHARE_LEADERSHIP, RP_KEY_LEADER, looked, e);
     }
--- a/src/election.h
+++ b/src/election.h
@@ -24,7 +24,7 @@
     uint64_t token, lease, claim_over;
     struct timespec valid_until; /* on the steady clock, margins taken off */
     struct timespec stand_back;  /* until then only the others may claim a free key */
-    struct timespec asked;       /* when the request under way was sent */
+    struct timespec asked;       /* when the claim's lease was asked for */
     char leader[64];             /* who held the key when we last looked, "" for nobody */
     struct timespec looked_at;   /* when that was */
     struct rp_timer timer;
--- a/tests/test.h
+++ b/tests/test.h
@@ -11,4 +11,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Each test has a name of its own for ctest: the first argument chooses one. */
+static inline void choose_test(int argc, char **argv) {
+    if (argc > 1)
+        cmocka_set_test_filter(argv[1]);
+}
+
 #endif
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -90,6 +90,7 @@
     int reads, writes;
     rp_answer_fn fn[64];
     void *arg[64];
+    bool answered[64];
 };
 
 static void keep_call(void *ctx, const char *addr, const char *method, const char *target,
@@ -145,12 +146,114 @@
     rp_loop_close(&loop);
 }
 
-int main(void) {
+static void note_change(void *arg) {
+    ++*(int *)arg;
+}
+
+static void answer_call(struct asked *a, int call, int status, const char *body) {
+    a->answered[call] = true;
+    a->fn[call](a->arg[call], &(struct rp_answer){status, false, body, strlen(body)});
+}
+
+static void answer_last(struct asked *a, int status, const char *body) {
+    answer_call(a, a->reads + a->writes - 1, status, body);
+}
+
+/* What was asked and got no answer times out. */
+static void time_out_rest(struct asked *a) {
+    for (int i = 0; i < a->reads + a->writes; i++)
+        if (!a->answered[i])
+            answer_call(a, i, 0, "");
+}
+
+/* The key is free, and the node takes it: its lease, and the key's revision. */
+static void take_key(struct asked *a, const char *lease, const char *revision) {
+    answer_last(a, 404, "{}");
+    answer_last(a, 200, lease);
+    answer_last(a, 200, revision);
+}
+
+/* The answer to a renewal of an earlier term's lease came during the next term, and was taken for
+ * one to the renewal under way: it proved a lease that nobody had renewed, or ended a sound term.
+ */
+static void late_renewal_proves_nothing(void **state) {
+    struct rp_loop loop;
+    struct rp_state_client c;
+    struct rp_election e;
+    struct asked asked = {0};
+    struct rp_net net = {.ctx = &asked, .call = keep_call};
+    int changes = 0;
+    (void)state;
+    assert_int_equal(rp_loop_init(&loop, true), 0);
+    loop.virtual_now = rp_ts(100);
+    rp_state_client_init(&c, &loop, net, "state", 200, 20, 3, 0.6);
+    rp_election_init(&e, &loop, &c, "n0", 10, 1, note_change, note_change, &changes);
+    rp_election_start(&e);
+    rp_loop_advance(&loop, rp_ts(100.01));
+    take_key(&asked, "{\"lashing\":7}", "{\"ledger_rev\":5}");
+    assert_true(e.at == RP_HOLDING && e.token == 5);
+    rp_loop_advance(&loop, rp_ts(101));
+    int old = asked.reads + asked.writes - 1; /* the renewal of lease 7 */
+    rp_election_resign(&e, 0);
+    rp_loop_advance(&loop, rp_ts(102.5));
+    take_key(&asked, "{\"lashing\":8}", "{\"ledger_rev\":9}");
+    assert_true(e.at == RP_HOLDING && e.token == 9);
+    struct timespec until = e.valid_until;
+    rp_loop_advance(&loop, rp_ts(104)); /* the renewal of lease 8 is under way */
+    answer_call(&asked, old, 200, "{}");
+    assert_int_equal(rp_ts_cmp(e.valid_until, until), 0);
+    assert_int_equal(e.at, RP_HOLDING);
+    answer_last(&asked, 200, "{}");
+    assert_int_equal(rp_ts_cmp(e.valid_until, until), 1);
+    assert_int_equal(changes, 3);
+    time_out_rest(&asked);
+    rp_election_stop(&e);
+    rp_state_client_close(&c);
+    rp_loop_close(&loop);
+}
+
+/* A node that gave the key up claimed it over in its own name as long as the end of its lease
+ * wasn't carried out: the others had no chance to lead. */
+static void stands_back_from_its_own_name(void **state) {
+    struct rp_loop loop;
+    struct rp_state_client c;
+    struct rp_election e;
+    struct asked asked = {0};
+    struct rp_net net = {.ctx = &asked, .call = keep_call};
+    int changes = 0;
+    static const char own[] = "{\"path\":\"rp/main/leader\",\"v\":{\"node\":\"n0\"},\"key_rev\":5}";
+    (void)state;
+    assert_int_equal(rp_loop_init(&loop, true), 0);
+    loop.virtual_now = rp_ts(100);
+    rp_state_client_init(&c, &loop, net, "state", 200, 20, 3, 0.6);
+    rp_election_init(&e, &loop, &c, "n0", 10, 1, note_change, note_change, &changes);
+    rp_election_start(&e);
+    rp_loop_advance(&loop, rp_ts(100.01));
+    take_key(&asked, "{\"lashing\":7}", "{\"ledger_rev\":5}");
+    rp_election_resign(&e, 5);
+    for (double t = 101.1; t < 104.9; t += 1.1) {
+        rp_loop_advance(&loop, rp_ts(t));
+        answer_last(&asked, 200, own);
+        assert_int_equal(e.at, RP_FOLLOWING);
+    }
+    rp_loop_advance(&loop, rp_ts(106.5));
+    answer_last(&asked, 200, own);
+    assert_int_equal(e.at, RP_LEASING);
+    time_out_rest(&asked);
+    rp_election_stop(&e);
+    rp_state_client_close(&c);
+    rp_loop_close(&loop);
+}
+
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(trust_ends_before_the_lease),
                                        cmocka_unit_test(holding_alone_is_not_enough),
                                        cmocka_unit_test(timers_in_order),
                                        cmocka_unit_test(bucket_keeps_its_rate),
                                        cmocka_unit_test(stale_leader_is_not_named),
+                                       cmocka_unit_test(late_renewal_proves_nothing),
+                                       cmocka_unit_test(stands_back_from_its_own_name),
                                        cmocka_unit_test(queries_dont_delay_submissions)};
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
