--- a/src/api.c
+++ b/src/api.c
@@ -49,8 +49,13 @@
     free(op);
 }
 
+/* A malformed submission needs no look at the state service: whoever accepted the job before has
+ * read the same body, and found it sound. */
 static void op_unavailable(struct op *op) {
-    op_answer(op, 503, rp_wire_error("not possible just now"), RETRY_AFTER_S);
+    if (op->kind == OP_SUBMIT && op->refusal == 400)
+        op_answer(op, 400, rp_wire_error(op->why), 0);
+    else
+        op_answer(op, 503, rp_wire_error("not possible just now"), RETRY_AFTER_S);
 }
 
 static void op_status(struct op *op, int status, enum rp_job_word word) {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -13,12 +13,11 @@
 #define LIST_PAGE 500
 #define LOAD_PAGE 1000
 #define DELETE_MAX 100
-#define RENT_MAX 50     /* machines in a request (PROTOCOL) */
-#define RECORD_HEAD 320 /* bytes of a rental's record besides its machines' names */
-#define RECORD_NAME 16  /* a machine's name in it, as a rule; what is longer is split */
-#define NAMES_MAX 64    /* machines of a rental: at most 50 are asked for at once */
-#define VALUE_LEAST 256 /* bytes of a record that no limit is expected to refuse */
-#define NEWS_MAX_S 9.0
+#define RENT_MAX 50      /* machines in a request (PROTOCOL) */
+#define RECORD_HEAD 320  /* bytes of a rental's record besides its machines' names */
+#define RECORD_NAME 16   /* a machine's name in it, as a rule; what is longer is split */
+#define NAMES_MAX 64     /* machines of a rental: at most 50 are asked for at once */
+#define VALUE_LEAST 256  /* bytes of a record that no limit is expected to refuse */
 #define REFUSED_PAUSES 6 /* a refused kind is left alone for at most so many first pauses */
 /* A machine that lost its lease through our absence comes back within this. */
 #define LOST_GRACE_S 16.0
@@ -85,10 +84,6 @@
     f->timer = (struct rp_timer){.fn = tick, .arg = f};
 }
 
-bool rp_fleet_news_fresh(const struct rp_jobs *jobs) {
-    return rp_jobs_stale_s(jobs) < NEWS_MAX_S;
-}
-
 double rp_fleet_price(const struct rp_catalog *c, int type, bool spot) {
     return spot ? c->types[type].spot_price : c->types[type].price;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -92,8 +92,6 @@
 /* What a worker says of its machine, which the record may not know. */
 void rp_fleet_describe(struct rp_fleet *f, struct rp_machine *m, const char *type, const char *zone,
                        bool spot);
-/* Cancellations are heard of fast enough for starts to be given. */
-bool rp_fleet_news_fresh(const struct rp_jobs *jobs);
 double rp_fleet_price(const struct rp_catalog *c, int type, bool spot);
 
 #endif
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -9,7 +9,9 @@
 
 #define PAGE 1000
 #define FOLLOW_HOLD_S 3.0
-#define DEAF_S 14.0 /* without news from the watch */
+#define FOLLOW_HOLD_SHARE 0.3 /* of what news may be old */
+#define START_NEWS_S 9.0      /* news may be so old for a start */
+#define CATCH_UP_S 3.0        /* for the first watch, once the leader's lease is provable again */
 #define FLUSH_EVERY_S 0.25
 #define FLUSH_MOST 24   /* records of some 2.2 KB each: a transaction may have 64 KiB */
 #define FLUSH_AGE_S 2.0 /* progress waits this long for company; a finished job never does */
@@ -17,6 +19,7 @@
 #define FINISH_SHARE 0.1
 #define FLUSH_HOLD_S 5.0  /* after the service has refused a single record as too large */
 #define PROGRESS_FRAME 16 /* bytes of a progress record besides its digits */
+#define REV_UNKNOWN UINT64_MAX
 
 /* A request of the table, marked with the leadership it belongs to. */
 struct request {
@@ -78,8 +81,22 @@
     return job;
 }
 
+static size_t n_chunks(const struct rp_job *job) {
+    return (job->spec.n_tasks + RP_CHUNK_TASKS - 1) / RP_CHUNK_TASKS;
+}
+
+static size_t n_units(const struct rp_job *job) {
+    return (job->spec.n_tasks + RP_UNIT_TASKS - 1) / RP_UNIT_TASKS;
+}
+
+/* The revision of a record of progress as last written or read; 0: there is none. */
+static uint64_t *saved_rev(struct rp_job *job, unsigned piece, bool unit) {
+    return &job->saved_revs[unit ? n_chunks(job) + piece : piece];
+}
+
 static void job_free(struct rp_job *job) {
     rp_job_spec_free(&job->spec);
+    free(job->saved_revs);
     free(job->done);
     free(job->durable);
     free(job->where);
@@ -140,7 +157,8 @@
     job->team = rp_settings_team(t->settings, job->spec.team);
     job->done = calloc(1, bytes);
     job->durable = calloc(1, bytes);
-    if (!job->done || !job->durable) {
+    job->saved_revs = calloc(n_chunks(job) + n_units(job), sizeof *job->saved_revs);
+    if (!job->done || !job->durable || !job->saved_revs) {
         job_free(job);
         return NULL;
     }
@@ -178,6 +196,8 @@
 void rp_jobs_clear(struct rp_jobs *t) {
     t->generation++;
     t->active = t->reading_parts = t->sweeping = t->loading = false;
+    t->catching_up = t->refused = false;
+    t->provable_since = (struct timespec){0};
     t->n_services = 0;
     while (t->sweeps) {
         struct rp_sweep *sweep = t->sweeps;
@@ -203,6 +223,20 @@
     return rp_ts_since(rp_loop_now(t->loop), t->synced);
 }
 
+bool rp_jobs_may_answer(const struct rp_jobs *t) {
+    return rp_jobs_stale_s(t) < rp_settings_news_s(t->settings);
+}
+
+bool rp_jobs_may_start(const struct rp_jobs *t) {
+    return !t->refused && rp_jobs_stale_s(t) < START_NEWS_S && rp_jobs_may_answer(t);
+}
+
+void rp_jobs_note_refused(struct rp_jobs *t) {
+    if (t->active && !t->refused)
+        rp_info("the state service answers other nodes, not this one: no more starts");
+    t->refused = t->active;
+}
+
 double rp_job_age_s(const struct rp_job *job, struct timespec now) {
     return job->age_at_known_s + rp_ts_since(now, job->known);
 }
@@ -367,6 +401,7 @@
         unreadable(t, item->key, item->value);
         return;
     }
+    *saved_rev(job, piece, unit) = item->version;
     job->stored.chunks |= stored.chunks;
     job->stored.units |= stored.units;
 }
@@ -601,6 +636,7 @@
         if (revision > t->revision)
             t->revision = revision;
         t->synced = t->follow_sent;
+        t->catching_up = t->refused = false;
         follow(t);
         if (n > 0 && t->on_changed)
             t->on_changed(t->arg);
@@ -611,14 +647,19 @@
         rp_election_resign(t->election, 0);
     } else {
         t->follow_sent = (struct timespec){0}; /* the tick starts it again */
+        t->catching_up = true;
     }
 out:
     request_free(r);
 }
 
+/* After a failure the first watch is answered at once, with all that was written meanwhile: workers
+ * wait for it. */
 static void follow(struct rp_jobs *t) {
+    double hold = fmin(FOLLOW_HOLD_S, FOLLOW_HOLD_SHARE * rp_settings_news_s(t->settings));
     t->follow_sent = rp_loop_now(t->loop);
-    rp_state_follow(t->state, RP_KEY_OPEN, t->revision, FOLLOW_HOLD_S, followed, request_new(t));
+    rp_state_follow(t->state, RP_KEY_OPEN, t->revision, t->catching_up ? 0 : hold, followed,
+                    request_new(t));
 }
 
 /* ---- making results durable ---- */
@@ -748,6 +789,66 @@
         job->flush_held = rp_ts_after(now, FLUSH_HOLD_S);
 }
 
+static void piece_key(char key[RP_KEY_MAX], const char *job, unsigned piece, bool unit) {
+    if (unit)
+        rp_key_unit(key, job, piece);
+    else
+        rp_key_progress(key, job, piece);
+}
+
+/* Each write carries the revision of what it replaces: carried out seconds late, after a newer one,
+ * it took results away whose workers had forgotten them. After a lost answer, or a conflict with a
+ * write whose answer was lost, the revision has to be read. */
+static void doubt_saved(struct rp_job *job, unsigned piece, bool unit,
+                        const struct rp_state_result *result) {
+    char key[RP_KEY_MAX];
+    piece_key(key, job->spec.id, piece, unit);
+    if (result->outcome == RP_STATE_UNKNOWN ||
+        (result->outcome == RP_STATE_CONFLICT && rp_wire_failed_key(result->body, key)))
+        *saved_rev(job, piece, unit) = REV_UNKNOWN;
+}
+
+static void note_stored(struct rp_job *job, unsigned piece, bool unit) {
+    if (unit)
+        job->stored.units |= UINT64_C(1) << piece;
+    else
+        job->stored.chunks |= UINT32_C(1) << piece;
+}
+
+static void saved_read(void *arg, const struct rp_state_result *result) {
+    struct request *r = arg;
+    struct rp_jobs *t = r->t;
+    struct rp_job *job = request_current(r) ? rp_jobs_find(t, r->saved[0].job) : NULL;
+    struct rp_item item;
+    if (!job || job->state == RP_JOB_CLOSED)
+        goto out;
+    unsigned piece = r->saved[0].piece;
+    bool unit = r->saved[0].unit;
+    job->flushing &= ~units_of(piece, unit);
+    if (result->outcome == RP_STATE_MISSING)
+        *saved_rev(job, piece, unit) = 0;
+    else if (result->outcome == RP_STATE_OK && rp_wire_item(result->body, &item))
+        *saved_rev(job, piece, unit) = item.version;
+    note_stored(job, piece, unit);
+    job->dirty_since = (struct timespec){0}; /* it has waited long enough */
+out:
+    request_free(r);
+}
+
+static void read_saved(struct rp_jobs *t, struct rp_job *job, unsigned piece, bool unit) {
+    struct request *r = request_new(t);
+    char key[RP_KEY_MAX];
+    r->saved = calloc(1, sizeof *r->saved);
+    if (!r->saved)
+        abort(); /* out of memory: a restart is the honest answer */
+    strcpy(r->saved[0].job, job->spec.id);
+    r->saved[0].piece = piece;
+    r->saved[0].unit = unit;
+    job->flushing |= units_of(piece, unit);
+    piece_key(key, job->spec.id, piece, unit);
+    rp_state_get(t->state, RP_SHARE_LEADER, key, saved_read, r);
+}
+
 static void flushed(void *arg, const struct rp_state_result *result) {
     struct request *r = arg;
     struct rp_jobs *t = r->t;
@@ -767,16 +868,19 @@
         job->flushing &= ~units_of(piece, unit);
         if (result->outcome != RP_STATE_OK) {
             job->dirty |= units_of(piece, unit);
+            doubt_saved(job, piece, unit, result);
+            if (result->outcome == RP_STATE_UNKNOWN)
+                note_stored(job, piece, unit); /* it may have been written */
             continue;
         }
+        *saved_rev(job, piece, unit) = rp_wire_revision(result->body);
         size_t span = unit ? RP_UNIT_BYTES : RP_CHUNK_BYTES;
         size_t at = piece * span, bytes = (job->spec.n_tasks + 7) / 8;
         for (size_t b = 0; b < span && at + b < bytes; b++)
             job->durable[at + b] |= r->saved[i].bits[b];
-        job->stored.chunks |= stored.chunks;
-        job->stored.units |= stored.units;
+        note_stored(job, piece, unit);
     }
-    if (result->outcome == RP_STATE_CONFLICT)
+    if (result->outcome == RP_STATE_CONFLICT && rp_wire_failed_key(result->body, RP_KEY_LEADER))
         rp_election_doubt(t->election);
     if (result->outcome == RP_STATE_BAD)
         refused_as_large(t, r);
@@ -797,10 +901,8 @@
     r->saved[r->n].unit = unit;
     memcpy(r->saved[r->n].bits, job->done + at, bytes);
     r->n++;
-    if (unit)
-        rp_key_unit(key, job->spec.id, piece);
-    else
-        rp_key_progress(key, job->spec.id, piece);
+    piece_key(key, job->spec.id, piece, unit);
+    rp_wire_txn_if(txn, key, *saved_rev(job, piece, unit));
     rp_wire_txn_put(txn, key, rp_jobs_mark(t, rp_record_progress(job->done + at, bytes)), 0);
     job->dirty &= ~units_of(piece, unit);
     job->flushing |= units_of(piece, unit);
@@ -818,7 +920,11 @@
                      t->settings->state.value_kb * 1024)
         return;
     for (unsigned p = 0; p < n && r->n < most; p++)
-        if (due & units_of(p, unit) && !(job->flushing & units_of(p, unit)))
+        if (!(due & units_of(p, unit)) || job->flushing & units_of(p, unit))
+            continue;
+        else if (*saved_rev(job, p, unit) == REV_UNKNOWN)
+            read_saved(t, job, p, unit);
+        else
             flush_piece(t, r, txn, job, p, unit);
 }
 
@@ -859,14 +965,19 @@
 static void tick(void *arg) {
     struct rp_jobs *t = arg;
     struct rp_job *next;
+    struct timespec now = rp_loop_now(t->loop);
     rp_timer_set(t->loop, &t->timer, FLUSH_EVERY_S);
     if (t->follow_sent.tv_sec == 0 && t->follow_sent.tv_nsec == 0)
         follow(t);
-    if (!rp_election_valid(t->election, rp_loop_now(t->loop)))
+    if (!rp_election_valid(t->election, now)) {
+        t->provable_since = (struct timespec){0};
         return;
-    /* A leader whose lease is renewed but who hears of no cancellation keeps cancelled tasks
-     * alive by its answers: somebody else has to lead. */
-    if (rp_jobs_stale_s(t) > DEAF_S) {
+    }
+    if (rp_ts_zero(t->provable_since))
+        t->provable_since = now;
+    /* A leader whose lease is renewed but who hears of no cancellation answers no worker: somebody
+     * else has to lead. After an outage it has a moment to catch up. */
+    if (!rp_jobs_may_answer(t) && rp_ts_since(now, t->provable_since) > CATCH_UP_S) {
         rp_election_resign(t->election, 5);
         return;
     }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -57,6 +57,7 @@
     uint32_t zone_count[RP_ZONES_MAX];
     uint32_t cursor;            /* no task below it can be started */
     uint64_t dirty, flushing;   /* bit sets over units of progress */
+    uint64_t *saved_revs;       /* of the records of progress: chunks, then units */
     struct rp_stored stored;    /* records besides its own */
     struct timespec flush_held; /* the service didn't take its progress */
     struct timespec dirty_since;
@@ -100,6 +101,9 @@
     uint64_t revision;      /* the table holds everything up to here */
     struct timespec synced; /* when the newest answered watch was sent */
     struct timespec follow_sent;
+    bool catching_up;               /* a watch has failed: the next one doesn't wait for news */
+    bool refused;                   /* this node alone isn't answered, as far as is known */
+    struct timespec provable_since; /* since when the leader's lease is provable without a gap */
     const struct rp_upgrade *upgrade;
     struct rp_sweep *sweeps;
     struct rp_pending *pending;
@@ -129,6 +133,13 @@
 struct rp_job *rp_jobs_find(const struct rp_jobs *t, const char *id);
 /* Seconds since the last moment of which the table is known to hold all news. */
 double rp_jobs_stale_s(const struct rp_jobs *t);
+/* Cancellations are heard of fast enough for workers to be answered: every answer renews a lease.
+ */
+bool rp_jobs_may_answer(const struct rp_jobs *t);
+/* And for tasks to be started. */
+bool rp_jobs_may_start(const struct rp_jobs *t);
+/* The state service answers other nodes, but not this one: they may be confirming cancellations. */
+void rp_jobs_note_refused(struct rp_jobs *t);
 double rp_job_age_s(const struct rp_job *job, struct timespec now);
 
 bool rp_job_task_done(const struct rp_job *job, uint32_t task);
--- a/src/node.c
+++ b/src/node.c
@@ -17,7 +17,7 @@
 #define HEALTH_S 0.5
 #define EAGER_SHARE 0.4 /* of the time between looks at who leads, before the activation */
 #define ALONE_S 2.5     /* without the state service and without any other node */
-#define DEAF_S 1.0      /* without the state service, before the others are asked how they fare */
+#define REFUSED_S 1.0   /* without the state service, before the others are asked how they fare */
 
 static void on_elected(void *arg);
 static void on_format(void *arg);
@@ -322,13 +322,20 @@
                         summary_came, n);
 }
 
+/* The others are better placed: users go there, and what they decide there isn't heard here. */
+static void refused_alone(struct rp_node *n) {
+    n->refused_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
+    rp_jobs_note_refused(&n->jobs);
+}
+
 static void health_came(void *arg, const struct rp_answer *answer) {
     struct rp_node *n = arg;
     if (answer->status == 200)
         n->peer_heard = rp_loop_now(n->loop);
     json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
-    if (json_is_true(json_object_get(v, "state_answers")) && rp_state_failing_s(&n->state) > DEAF_S)
-        n->deaf_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
+    if (json_is_true(json_object_get(v, "state_answers")) &&
+        rp_state_failing_s(&n->state) > REFUSED_S)
+        refused_alone(n);
     json_decref(v);
 }
 
@@ -337,13 +344,13 @@
 static void health_due(void *arg) {
     struct rp_node *n = arg;
     rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
-    if (rp_state_failing_s(&n->state) <= DEAF_S) {
+    if (rp_state_failing_s(&n->state) <= REFUSED_S) {
         n->peer_heard = rp_loop_now(n->loop);
         return;
     }
     /* Neither the state service nor any other node answers: it is this node that is cut off. */
     if (n->settings->n_peers > 0 && rp_ts_since(rp_loop_now(n->loop), n->peer_heard) > ALONE_S)
-        n->deaf_until = rp_ts_after(rp_loop_now(n->loop), 4 * HEALTH_S);
+        refused_alone(n);
     for (size_t i = 0; i < n->settings->n_peers; i++)
         n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_HEALTH, NULL, HEALTH_S,
                     health_came, n);
@@ -471,7 +478,7 @@
 
 bool rp_node_healthy(const struct rp_node *n) {
     return !n->leaving && n->upgrade.at != RP_UPGRADE_TOO_OLD && n->catalog_known &&
-           n->state.n_ok > 0 && rp_ts_reached(rp_loop_now(n->loop), n->deaf_until);
+           n->state.n_ok > 0 && rp_ts_reached(rp_loop_now(n->loop), n->refused_until);
 }
 
 static void refuse(struct rp_request *req, int status, const char *text) {
--- a/src/node.h
+++ b/src/node.h
@@ -44,8 +44,8 @@
     struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
     struct rp_timer room_timer, health_timer;
-    struct timespec peer_heard; /* when another node last answered */
-    struct timespec deaf_until; /* the state service answers others, but not this node */
+    struct timespec peer_heard;    /* when another node last answered */
+    struct timespec refused_until; /* the state service answers others, but not this node */
     /* What the leader last told of running jobs, for display by other nodes. */
     struct rp_job_status *summary;
     size_t n_summary;
--- a/src/round.c
+++ b/src/round.c
@@ -190,7 +190,7 @@
     struct timespec now = rp_loop_now(r->loop);
     struct rp_round_input x;
     struct rp_plan plan = {0};
-    if (!r->active || !rp_election_valid(r->election, now) || !rp_fleet_news_fresh(r->jobs))
+    if (!r->active || !rp_election_valid(r->election, now) || !rp_jobs_may_start(r->jobs))
         return;
     r->last = now;
     r->n_rounds++;
--- a/src/services.c
+++ b/src/services.c
@@ -403,7 +403,7 @@
 void rp_services_run(struct rp_services *s) {
     struct timespec now = rp_loop_now(s->loop);
     uint64_t newest = s->counted;
-    if (s->jobs->n_services == 0 || !rp_fleet_news_fresh(s->jobs))
+    if (s->jobs->n_services == 0 || !rp_jobs_may_start(s->jobs))
         return;
     for (struct rp_job *job = s->jobs->first; job; job = job->next) {
         if (job->spec.kind != RP_SERVICE || job->state != RP_JOB_OPEN)
--- a/src/settings.c
+++ b/src/settings.c
@@ -10,6 +10,9 @@
 
 /* Workers drop a report's answer after this long. */
 #define LATE_COMMANDS_S 4.0
+#define LEASE_DRIFT 1.002 /* four times what clocks may drift */
+/* The news of a leader whose watch is sound are never older than its hold and an answer's time. */
+#define NEWS_WAIT_S 4.5
 
 struct reading {
     const char *file;
@@ -345,6 +348,15 @@
     return mistakes;
 }
 
+/* A cancellation is confirmed by any node. A leader that can't hear of it (the state service
+ * refuses it alone, then there is an outage in which nobody can take over) renews the leases of the
+ * cancelled tasks for so long at the most; what it renewed last ends lease_s later, and that is
+ * within cancel_s of the confirmation. Longer than the leader's own lease isn't needed. */
+double rp_settings_news_s(const struct rp_settings *s) {
+    double most = s->cancel_s - s->lease_s * LEASE_DRIFT - LATE_COMMANDS_S;
+    return fmin(s->tuning.leader_ttl_s + NEWS_WAIT_S, most);
+}
+
 void rp_settings_complete(struct rp_settings *s) {
     struct rp_tuning *t = &s->tuning;
     if (t->leader_ttl_s > 0)
@@ -372,7 +384,7 @@
         mistakes++;
     }
     /* A cancelled task on a machine that can't be reached ends only with the machine's lease. */
-    if (s->cancel_s <= s->lease_s + t->leader_ttl_s + LATE_COMMANDS_S) {
+    if (rp_settings_news_s(s) <= t->leader_ttl_s) {
         fprintf(errors,
                 "cancel_s (%g) must exceed lease_s + leader_ttl_s + 4 s, or a cancellation can't "
                 "be kept through a change of leader\n",
--- a/src/settings.h
+++ b/src/settings.h
@@ -77,6 +77,8 @@
 int rp_tuning_parse(struct rp_tuning *t, const char *text, const char *file, FILE *errors);
 /* Fills in what neither file says and depends on both. */
 void rp_settings_complete(struct rp_settings *s);
+/* How old the newest news of the jobs may be for a leader to go on answering workers. */
+double rp_settings_news_s(const struct rp_settings *s);
 /* What the two files say together: periods and time-outs that contradict one another. */
 int rp_settings_check(const struct rp_settings *s, FILE *errors);
 void rp_settings_free(struct rp_settings *s);
--- a/src/workers.c
+++ b/src/workers.c
@@ -55,6 +55,12 @@
     respond(req, 421, rp_wire_not_here(leader));
 }
 
+/* Every answer renews a lease, and so lets what runs there run on: only a leader whose lease is
+ * provable may give one, and only while it hears what users cancel. */
+static bool may_answer(const struct rp_workers *w, struct timespec now) {
+    return rp_election_valid(w->election, now) && rp_jobs_may_answer(w->jobs);
+}
+
 /* ---- reading the report into the picture ---- */
 
 static struct rp_place *find_place(struct rp_machine *m, const struct rp_job *job, uint32_t task,
@@ -356,6 +362,8 @@
 static void command_foreign(struct batch *b, const struct rp_machine *m) {
     for (size_t i = 0; i < m->n_foreign; i++) {
         const struct rp_foreign *f = &m->foreign[i];
+        if (f->exited && !m->token_seen)
+            continue;
         command(b, f->exited ? RP_OP_FORGET : RP_OP_STOP, f->job, f->task, f->attempt, 0);
     }
 }
@@ -363,8 +371,10 @@
 /* A worker that has forgotten an attempt would begin it anew on a late copy of its start. Starts in
  * answers to reports have no late copies, direct ones may have; those die with the token, which is
  * part of the attempt's number, or with the session. */
-static bool may_forget(const struct rp_workers *w, const struct rp_place *place) {
-    if (place->direct && place->attempt >> 32 == w->election->token)
+static bool may_forget(const struct rp_workers *w, const struct rp_machine *m,
+                       const struct rp_place *place) {
+    /* Until the token is seen, an earlier leader's start may still be on its way. */
+    if (!m->token_seen || (place->direct && place->attempt >> 32 == w->election->token))
         return false;
     /* A result must be durable before the worker may lose it. */
     return place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task);
@@ -377,7 +387,7 @@
         struct rp_place *place = &m->places[i];
         const char *job = place->job->spec.id;
         if (place->state == RP_PLACE_EXITED) {
-            if (may_forget(w, place))
+            if (may_forget(w, m, place))
                 command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
         } else if (place->stop && place->state != RP_PLACE_PLANNED) {
             bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
@@ -397,7 +407,7 @@
 static bool start_still_good(struct rp_workers *w, const struct rp_machine *m,
                              const struct rp_place *place) {
     return place->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
-           rp_picture_job_settled(w->picture, place->job) && rp_fleet_news_fresh(w->jobs);
+           rp_picture_job_settled(w->picture, place->job) && rp_jobs_may_start(w->jobs);
 }
 
 /* A direct start whose answer was lost is said again: the same attempt can't begin twice. */
@@ -442,7 +452,7 @@
 static void answer(struct rp_workers *w, struct rp_request *req, struct rp_machine *m,
                    const struct batch *b, struct timespec received) {
     struct timespec now = rp_loop_now(w->loop);
-    if (!rp_election_valid(w->election, now)) {
+    if (!may_answer(w, now)) {
         not_here(w, req);
         return;
     }
@@ -501,9 +511,12 @@
         respond(req, 503, NULL);
         return;
     }
+    /* What is over is stopped by the very first answer, which renews the lease like any other: a
+     * machine that hung right after a first answer without stops ran cancelled work for one more
+     * lease; one that was about to go back, while the cloud didn't answer, for ever. */
+    command_foreign(&b, m);
+    command_ends(w, &b, m, rp_loop_now(w->loop));
     if (m->token_seen) {
-        command_foreign(&b, m);
-        command_ends(w, &b, m, rp_loop_now(w->loop));
         command_again(w, &b, m);
         command_starts(w, &b, m, false);
     }
@@ -575,11 +588,7 @@
         respond(req, 503, rp_wire_error("no answer seems to reach this machine"));
         return;
     }
-    if (m->state == RP_MACHINE_RETURNING) {
-        answer(w, req, m, NULL, received);
-        return;
-    }
-    bool news = busy_places(m) < busy || !was_up;
+    bool news = m->state != RP_MACHINE_RETURNING && (busy_places(m) < busy || !was_up);
     if (news && w->on_room && !w->on_room(w->arg))
         hold(w, req, m);
     else
@@ -777,7 +786,7 @@
 void rp_workers_report(struct rp_workers *w, struct rp_request *req) {
     struct rp_report report;
     w->n_reports++;
-    if (!w->ready || !rp_election_valid(w->election, rp_loop_now(w->loop))) {
+    if (!w->ready || !may_answer(w, rp_loop_now(w->loop))) {
         not_here(w, req);
         return;
     }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,4 +1,4 @@
-#include "sim.h"
+#include "sim_parts.h"
 
 #include <math.h>
 #include <stdarg.h>
@@ -7,47 +7,18 @@
 #include <string.h>
 #include "wire.h"
 
-#define STEP_S 0.02
 #define GANG_WAIT_S 40.0
 #define GANG_PEER_S 5.0
-#define FORGOTTEN_S                                                                                \
-    75.0              /* after troubles, a job that no question about is answered is forgotten     \
-                       */
-#define BEGIN_S 240.0 /* and every one begins by then */
-#define REPLICA_DOWN_S 90.0 /* and no replica of a service is missing for longer */
-#define LARGE 40            /* tasks of the largest jobs */
-
-enum event_kind { EV_REQUEST, EV_ANSWER, EV_REPORT, EV_REPORT_ANSWER, EV_USER };
-
-/* Something on its way. */
-struct sim_event {
-    enum event_kind kind;
-    double due;
-    int node;
-    unsigned long life;
-    char addr[64], method[8], *target, *body;
-    bool answered; /* nobody waits for the answer (any more) */
-    double deadline;
-    rp_answer_fn fn;
-    void *arg;
-    bool unsent; /* where no connection could be made */
-    int status;
-    int worker; /* or job, for users */
-    uint64_t flight;
-    int user_op;  /* 0 submit, 1 poll, 2 cancel */
-    double asked; /* when the user sent the request */
-};
 
-static double uniform(struct sim *s) {
+double sim_uniform(struct sim *s) {
     return gsl_rng_uniform(s->rng);
 }
 
-static bool chance(struct sim *s, double p) {
-    return p > 0 && uniform(s) < p;
+bool sim_chance(struct sim *s, double p) {
+    return p > 0 && sim_uniform(s) < p;
 }
 
-static void broken(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
-static void broken(struct sim *s, const char *fmt, ...) {
+void sim_broken(struct sim *s, const char *fmt, ...) {
     va_list ap;
     if (s->broken[0])
         return;
@@ -57,7 +28,7 @@
     va_end(ap);
 }
 
-static struct sim_event *event_new(struct sim *s, enum event_kind kind, double after) {
+struct sim_event *sim_event_new(struct sim *s, enum event_kind kind, double after) {
     struct sim_event *e = calloc(1, sizeof *e);
     if (!e || s->n_events == SIM_EVENTS)
         abort();
@@ -74,7 +45,7 @@
 }
 
 static double delay(struct sim *s) {
-    return 0.0005 + 0.004 * uniform(s) + (chance(s, 0.01) ? 0.3 * uniform(s) : 0);
+    return 0.0005 + 0.004 * sim_uniform(s) + (sim_chance(s, 0.01) ? 0.3 * sim_uniform(s) : 0);
 }
 
 const struct sim_engine *sim_old_engine;
@@ -152,14 +123,14 @@
     if (strcmp(key, RP_KEY_FORMAT) == 0) {
         s->activated = s->now;
         if (any_old(s))
-            broken(s, "activated_early");
+            sim_broken(s, "activated_early");
     }
     if (!any_old(s) && s->activated > 0)
         return;
     if (!said && (unit || has_prefix(key, RP_KEY_PART) || rp_record_format(value) > 1))
-        broken(s, "too_early: %s", key);
+        sim_broken(s, "too_early: %s", key);
     if (kind && strcmp(kind, "service") == 0)
-        broken(s, "too_early: service %s", key);
+        sim_broken(s, "too_early: service %s", key);
 }
 
 /* From a moment after the activation on, everything fits what is to come. */
@@ -173,7 +144,7 @@
     }
     bool fits = (double)n <= s->next.txn_ops && (double)largest <= s->next.value_bytes;
     if (s->activated > 0 && s->now > s->activated + 1.5 && !fits)
-        broken(s, "too_large: changes=%zu bytes=%zu", n, largest);
+        sim_broken(s, "too_large: changes=%zu bytes=%zu", n, largest);
     if ((double)n > s->limits.txn_ops || (double)largest > s->limits.value_bytes) {
         s->n_bad++;
         return 400;
@@ -321,7 +292,7 @@
 }
 
 static int state_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
-    if (s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until)
+    if (s->now < s->outage_until || s->now < s->nodes[e->node].refused_until)
         return 503;
     if (strcmp(e->target, "/txn") == 0)
         return state_txn(s, body, out);
@@ -348,11 +319,9 @@
 
 /* ---- cloud ---- */
 
-static const struct {
-    const char *name;
-    double cpus, gpus, memory, price, spot_price, boot;
-} sim_types[] = {{"small", 8, 0, 32, 0.36, 0.11, 8}, {"wide", 32, 0, 128, 1.5, 0.45, 12}};
-static const char *const sim_zones[] = {"a", "b"};
+const struct sim_machine_type sim_types[2] = {{"small", 8, 0, 32, 0.36, 0.11, 8},
+                                              {"wide", 32, 0, 128, 1.5, 0.45, 12}};
+const char *const sim_zones[2] = {"a", "b"};
 
 static json_t *cloud_catalog(void) {
     json_t *list = json_array();
@@ -389,7 +358,9 @@
         *w = (struct sim_worker){.used = true, .alive = true, .type = type, .zone = zone};
         w->spot = spot;
         w->rented = s->now;
-        w->boots = s->now + sim_types[type].boot * (0.3 + 1.2 * uniform(s));
+        w->boots = s->now + (sim_chance(s, s->faults.fast_boot)
+                                 ? 0.1 + 1.9 * sim_uniform(s)
+                                 : sim_types[type].boot * (0.3 + 1.2 * sim_uniform(s)));
         snprintf(w->name, sizeof w->name, "vm-%06d", s->next_machine++);
         json_array_append_new(names, json_string(w->name));
         count--;
@@ -438,6 +409,10 @@
 static int cloud_request(struct sim *s, const struct sim_event *e, json_t *body, json_t **out) {
     json_t *name;
     size_t i;
+    if (s->now < s->cloud_out_until) {
+        *out = json_pack("{s:s}", "error", "trouble");
+        return 503;
+    }
     if (strcmp(e->target, RP_PATH_TYPES) == 0) {
         *out = cloud_catalog();
         return 200;
@@ -465,45 +440,10 @@
     return -1;
 }
 
-static bool on_machine(const struct sim_task *t) {
+bool sim_on_machine(const struct sim_task *t) {
     return t->state == RP_TASK_WAITING || t->state == RP_TASK_RUNNING || t->state == RP_TASK_SAVING;
 }
 
-static void check_start(struct sim *s, const struct sim_worker *w, const struct sim_task *t) {
-    const struct sim_job *job = &s->jobs[t->job_index];
-    const struct rp_job_spec *spec = &job->spec;
-    double cpus = 0;
-    uint32_t in_zone = 1;
-    s->n_starts++;
-    s->jobs[t->job_index].begun = true;
-    if (job->told_cancelled && s->now > job->cancelled_at + s->size.cancel_s)
-        broken(s, "ran_cancelled: %s/%u starts", t->job, t->index);
-    if (w->spot && !spec->spot)
-        broken(s, "wrong_place: %s/%u on a spot machine", t->job, t->index);
-    if (*spec->zone && strcmp(spec->zone, sim_zones[w->zone]) != 0)
-        broken(s, "wrong_place: %s/%u in zone %s", t->job, t->index, sim_zones[w->zone]);
-    for (int i = 0; i < s->size.workers; i++)
-        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
-             k++) {
-            const struct sim_task *o = &s->workers[i].tasks[k];
-            if (!on_machine(o))
-                continue;
-            cpus += s->jobs[o->job_index].spec.each.cpus;
-            if (o == t || o->job_index != t->job_index)
-                continue;
-            if (o->index == t->index)
-                broken(s, "ran_twice: %s/%u on %s and %s", t->job, t->index, w->name,
-                       s->workers[i].name);
-            in_zone += s->workers[i].zone == w->zone;
-            if (spec->one_zone && s->workers[i].zone != w->zone)
-                broken(s, "wrong_place: %s/%u in two zones", t->job, t->index);
-        }
-    if (spec->spread && in_zone > (spec->n_tasks + 1) / 2)
-        broken(s, "wrong_place: %s has %u tasks in zone %s", t->job, in_zone, sim_zones[w->zone]);
-    if (cpus > s->settings[0].teams[0].cpus_max + 1e-6)
-        broken(s, "quota: %.1f CPUs in use", cpus);
-}
-
 static void task_exit(struct sim_worker *w, struct sim_task *t, const char *why, double now) {
     t->state = RP_TASK_EXITED;
     t->why = why;
@@ -536,6 +476,7 @@
         s->n_idle++;
         w->exited_at = 0;
     }
+    sim_check_command(s, &s->jobs[j]);
     t = &w->tasks[w->n_tasks++];
     *t = (struct sim_task){.index = index, .attempt = attempt, .job_index = j};
     strcpy(t->job, job);
@@ -546,19 +487,21 @@
              memory + s->jobs[j].spec.each.memory_gb > sim_types[w->type].memory + 1e-6)
         task_exit(w, t, "no_room", s->now);
     else
-        t->ready = s->now + 0.5 + uniform(s);
+        t->ready = s->now + 0.5 + sim_uniform(s);
     if (s->breakage == SIM_REPLICAS_NEVER_START && s->jobs[j].spec.kind == RP_SERVICE)
         t->ready = 1e9;
-    if (s->breakage == SIM_LARGE_NEVER_BEGIN && s->jobs[j].spec.n_tasks >= LARGE)
+    if (s->breakage == SIM_LARGE_NEVER_BEGIN && s->jobs[j].spec.n_tasks >= SIM_LARGE)
         t->ready = 1e9;
 }
 
 static void worker_stop(struct sim *s, struct sim_worker *w, struct sim_task *t, double grace) {
     const struct rp_job_spec *spec = &s->jobs[t->job_index].spec;
-    if (s->breakage == SIM_WORKERS_IGNORE_STOPS || t->state == RP_TASK_EXITED)
+    if (s->breakage == SIM_WORKERS_IGNORE_STOPS || s->breakage == SIM_RENEWED_WITHOUT_STOPS ||
+        t->state == RP_TASK_EXITED)
         return;
     if (t->state == RP_TASK_RUNNING && spec->checkpoint_s > 0 && grace >= spec->save_s) {
         t->state = RP_TASK_SAVING;
+        t->stopped = s->now;
         t->ready = s->now + spec->save_s;
         w->changed = true;
     } else if (t->state != RP_TASK_SAVING || grace == 0) {
@@ -575,7 +518,8 @@
     memcpy(job, name, (size_t)(slash - name));
     uint32_t index = (uint32_t)strtoul(slash + 1, NULL, 10);
     if (strcmp(op, "run") == 0) {
-        worker_start(s, w, job, index, attempt);
+        if (s->breakage != SIM_STARTS_GET_LOST || strcmp(job, s->jobs[1].spec.id) != 0)
+            worker_start(s, w, job, index, attempt);
         return;
     }
     for (int i = 0; i < w->n_tasks; i++) {
@@ -640,8 +584,9 @@
     for (int i = 0; i < s->size.workers; i++)
         if (s->workers[i].used && strcmp(s->workers[i].name, e->addr) == 0)
             w = &s->workers[i];
-    if (!w || !w->alive || !w->up)
+    if (!w || !w->alive || !w->up || s->now < w->deaf_until)
         return 0;
+    s->n_direct_to_mute += s->now < w->mute_until;
     if (strcmp(e->target, RP_PATH_DIRECT) == 0) {
         s->n_direct++;
         if ((uint64_t)json_integer_value(json_object_get(body, "stint")) != w->session ||
@@ -651,7 +596,7 @@
             worker_commands(s, w, body);
     }
     *out = worker_report(w, s->now);
-    return s->now < w->mute_until ? 0 : status;
+    return status;
 }
 
 /* The machine hangs, or its zone is cut off: what is on its way to it waits. */
@@ -670,13 +615,24 @@
              k++) {
             const struct sim_task *o = &s->workers[i].tasks[k];
             if (o->job_index == t->job_index && o->attempt == t->attempt &&
-                (on_machine(o) || (!ready_only && o->state == RP_TASK_FETCHING) ||
+                (sim_on_machine(o) || (!ready_only && o->state == RP_TASK_FETCHING) ||
                  (o->why && strcmp(o->why, "done") == 0)))
                 n++;
         }
     return n;
 }
 
+/* Users who call a job off at the very moment at which its last task ends. */
+static void cancel_at_end(struct sim *s, struct sim_job *job) {
+    for (uint32_t i = 0; i < job->spec.n_tasks; i++)
+        if (!job->done[i])
+            return;
+    if (!job->cancel_at_end || job->cancel_asked)
+        return;
+    job->cancel_at = s->now;
+    s->n_cancelled_at_end++;
+}
+
 static void task_step(struct sim *s, struct sim_worker *w, struct sim_task *t) {
     struct sim_job *job = &s->jobs[t->job_index];
     bool gang = job->spec.kind == RP_GANG;
@@ -685,9 +641,10 @@
         if (s->now < t->ready)
             break;
         t->state = gang ? RP_TASK_WAITING : RP_TASK_RUNNING;
-        t->began = t->ready = s->now;
+        t->ready = s->now;
+        t->began = s->now - job->ran_s[t->index]; /* what was saved isn't done again */
         w->changed = true;
-        check_start(s, w, t);
+        sim_check_start(s, w, t);
         break;
     case RP_TASK_WAITING:
         if (gang_members(s, t, true) == (int)job->spec.n_tasks) {
@@ -703,10 +660,12 @@
             gang_members(s, t, false) < (int)job->spec.n_tasks) {
             task_exit(w, t, "peers", s->now);
         } else if (job->spec.kind == RP_SERVICE) {
-            if (chance(s, s->faults.end_s > 0 ? STEP_S / s->faults.end_s : 0) || job->faulty)
-                task_exit(w, t, chance(s, 0.5) ? "done" : "error", s->now);
-        } else if (job->done[t->index] || s->now > t->began + job->spec.estimate_s) {
-            if (job->faulty || (!job->done[t->index] && chance(s, s->faults.task_error))) {
+            if (sim_chance(s, s->faults.end_s > 0 ? SIM_STEP_S / s->faults.end_s : 0) ||
+                job->faulty)
+                task_exit(w, t, sim_chance(s, 0.5) ? "done" : "error", s->now);
+        } else if (job->done[t->index] ||
+                   s->now > t->began + job->spec.estimate_s + t->index * job->stagger_s) {
+            if (job->faulty || (!job->done[t->index] && sim_chance(s, s->faults.task_error))) {
                 task_exit(w, t, "error", s->now);
                 break;
             }
@@ -715,11 +674,14 @@
                 for (uint32_t i = 0; i < job->spec.n_tasks; i++)
                     job->done[i] = true;
             task_exit(w, t, "done", s->now);
+            cancel_at_end(s, job);
         }
         break;
     case RP_TASK_SAVING:
         if (s->now >= t->ready) {
             t->saved = true;
+            if (!gang)
+                job->ran_s[t->index] = t->stopped - t->began;
             task_exit(w, t, "halted", s->now);
         }
         break;
@@ -741,7 +703,13 @@
 
 static void worker_send(struct sim *s, int index) {
     struct sim_worker *w = &s->workers[index];
-    struct sim_event *e = event_new(s, EV_REPORT, delay(s));
+    if (s->now < w->mute_until) {
+        w->node = (w->node + 1) % s->n_nodes; /* no connection can be made */
+        w->next = s->now + 1;
+        w->changed = false;
+        return;
+    }
+    struct sim_event *e = sim_event_new(s, EV_REPORT, delay(s));
     json_t *report = worker_report(w, s->now);
     e->body = json_dumps(report, JSON_COMPACT);
     json_decref(report);
@@ -753,14 +721,16 @@
     w->sent = s->now;
     if (s->held_worker == index + 1 && s->now < s->held_until)
         e->due = s->held_until + 0.5 - 0.025 * (s->held_until - s->now); /* in their order */
-    else if (chance(s, s->faults.lose))
+    else if (sim_chance(s, s->faults.lose))
         e->due = s->now + 1e9;
-    else if (chance(s, s->faults.late))
-        e->due = s->now + 5 + 60 * uniform(s);
-    bool far = chance(s, s->faults.copies);
-    if (far || chance(s, s->faults.repeat)) {
-        struct sim_event *copy = event_new(
-            s, EV_REPORT, far ? 1 + 5 * s->size.lease_s * uniform(s) : 0.1 + 40 * uniform(s));
+    else if (sim_chance(s, s->faults.late))
+        e->due = s->now + 5 + 60 * sim_uniform(s);
+    bool far = sim_chance(s, s->faults.copies);
+    sim_trouble_report(s, e);
+    if (far || sim_chance(s, s->faults.repeat)) {
+        struct sim_event *copy = sim_event_new(s, EV_REPORT,
+                                               far ? 1 + 5 * s->size.lease_s * sim_uniform(s)
+                                                   : 0.1 + 40 * sim_uniform(s));
         copy->body = strdup(e->body);
         if (s->breakage == SIM_COPIES_LOOK_NEW)
             make_newer(copy);
@@ -812,16 +782,17 @@
 static void report_answered(struct sim *s, const struct sim_event *e) {
     struct sim_worker *w = &s->workers[e->worker];
     if (!w->used || !w->alive || !w->in_flight || e->flight != w->flight || s->now > w->sent + 4 ||
-        s->now < w->hung_until || s->now < w->mute_until)
+        s->now < w->hung_until || s->now < w->deaf_until)
         return;
     w->in_flight = false;
     w->next = s->now + 1;
     json_t *body = json_loads(e->body ? e->body : "{}", 0, NULL);
     if (e->status == 200) {
-        w->next = w->sent + s->size.report_s * (0.75 + 0.5 * uniform(s));
+        w->next = w->sent + s->size.report_s * (0.75 + 0.5 * sim_uniform(s));
         if (worker_takes_token(w, body)) {
             w->answered_sent = w->sent;
             worker_commands(s, w, body);
+            sim_check_renewal(s, w);
         }
     } else {
         const char *leader = json_string_value(json_object_get(body, "foreman"));
@@ -852,16 +823,16 @@
     struct sim_request *r = (struct sim_request *)(void *)req;
     struct sim *s = r->sim;
     (void)retry;
-    if (r->flight || r->answer == EV_USER) {
-        struct sim_event *e = event_new(s, r->answer, delay(s));
+    if (r->flight || r->answer != EV_REPORT_ANSWER) {
+        struct sim_event *e = sim_event_new(s, r->answer, delay(s));
         e->status = status;
         e->body = strdup(body);
         e->worker = r->worker;
         e->flight = r->flight;
         e->user_op = r->user_op;
         e->asked = r->asked;
-        if (chance(s, s->faults.lose))
-            e->due += r->answer == EV_USER ? 0 : 1e9;
+        if (sim_chance(s, s->faults.lose))
+            e->due += r->answer == EV_REPORT_ANSWER ? 1e9 : 0;
     }
     free(r->body);
     free(r);
@@ -895,6 +866,11 @@
         rp_node_client_request(n->node, &r->req);
 }
 
+void sim_ask(struct sim *s, int node, const char *method, const char *target, const char *body,
+             enum event_kind answer, int index, enum sim_user_op op) {
+    node_receive(s, node, method, target, body, answer, index, 0, (int)op);
+}
+
 struct sim_line {
     struct sim *sim;
     int node;
@@ -906,7 +882,7 @@
                        const char *target, const char *body, double timeout_s, rp_answer_fn fn,
                        void *arg) {
     struct sim *s = line->sim;
-    struct sim_event *e = event_new(s, EV_REQUEST, delay(s));
+    struct sim_event *e = sim_event_new(s, EV_REQUEST, delay(s));
     e->node = line->node;
     e->life = line->life;
     snprintf(e->addr, sizeof e->addr, "%s", addr);
@@ -917,11 +893,12 @@
     e->fn = fn;
     e->arg = arg;
     bool watch = strncmp(target, "/follow", 7) == 0;
-    bool lost = !watch && chance(s, s->faults.lose);
-    e->unsent = lost && once && chance(s, 0.5); /* no connection was made: no copy of it exists */
-    if (!e->unsent && chance(s, s->faults.repeat) && strcmp(method, "GET") != 0 &&
+    bool lost = !watch && sim_chance(s, s->faults.lose);
+    e->unsent =
+        lost && once && sim_chance(s, 0.5); /* no connection was made: no copy of it exists */
+    if (!e->unsent && sim_chance(s, s->faults.repeat) && strcmp(method, "GET") != 0 &&
         strcmp(target, "/leases") != 0) {
-        struct sim_event *copy = event_new(s, EV_REQUEST, 0.05 + 30 * uniform(s));
+        struct sim_event *copy = sim_event_new(s, EV_REQUEST, 0.05 + 30 * sim_uniform(s));
         *copy = (struct sim_event){.kind = EV_REQUEST, .due = copy->due, .answered = true};
         copy->node = e->node;
         strcpy(copy->addr, addr);
@@ -929,10 +906,14 @@
         copy->target = strdup(target);
         copy->body = body ? strdup(body) : NULL;
     }
+    if (strcmp(addr, "state") == 0 && !watch && sim_chance(s, s->faults.slow))
+        e->due += 0.2 + 1.2 * sim_uniform(s);
     if (lost)
         e->due = e->deadline; /* never carried out: the time-out answers */
-    else if (!watch && chance(s, s->faults.late))
-        e->due = s->now + timeout_s + 30 * uniform(s);
+    else if (!watch && sim_chance(s, s->faults.late))
+        e->due = s->now + timeout_s + 30 * sim_uniform(s);
+    else if (strcmp(target, "/txn") == 0)
+        sim_trouble_txn(s, e);
 }
 
 static void line_call(void *ctx, const char *addr, const char *method, const char *target,
@@ -977,7 +958,7 @@
     struct sim_node *n = &s->nodes[index];
     struct peer_request r = {
         .req = {.method = e->method, .target = e->target, .body = "", .respond = peer_respond}};
-    if (!n->alive || s->now < n->stalled_until)
+    if (!n->alive || s->now < n->stalled_until || s->now < s->apart_until)
         return 0;
     if (n->old_node)
         sim_old_engine->peer(n->old_node, &r.req);
@@ -1016,22 +997,22 @@
     if (watch && e->answered)
         return true;
     if (!e->answered && strcmp(e->addr, "cloud") != 0 && cut_off(s, e)) {
-        e->due = e->deadline + STEP_S; /* silence: the time-out answers */
+        e->due = e->deadline + SIM_STEP_S; /* silence: the time-out answers */
         return false;
     }
     if (watch) {
-        bool cut = s->now < s->outage_until || s->now < s->nodes[e->node].deaf_until;
+        bool cut = s->now < s->outage_until || s->now < s->nodes[e->node].refused_until;
         out = cut ? NULL : state_news(s, e->target);
         if (s->now < e->deadline - 1.5 && (!out || !json_array_size(json_object_get(out, "log")))) {
             json_decref(out);
-            e->due = s->now + STEP_S;
+            e->due = s->now + SIM_STEP_S;
             return false;
         }
         answer_call(s, e, out ? 200 : 503, out);
         json_decref(out);
         return true;
     }
-    if (!e->answered && s->now >= e->deadline && (e->unsent || chance(s, 0.5))) {
+    if (!e->answered && s->now >= e->deadline && (e->unsent || sim_chance(s, 0.5))) {
         time_out(s, e);
         return true;
     }
@@ -1054,7 +1035,7 @@
         status = peer_call(s, e, &out);
     if (!e->answered) {
         e->unsent = false;
-        if (chance(s, s->faults.lose))
+        if (sim_chance(s, s->faults.lose))
             time_out(s, e);
         else
             answer_call(s, e, status, out);
@@ -1073,8 +1054,8 @@
     struct rp_net net = {.ctx = line, .call = line_call, .call_once = line_call_once};
     n->alive = true;
     n->old = n->next_old;
-    n->drift = 1.0 + 0.0005 * uniform(s);
-    n->offset = 100 + 1000 * uniform(s) - s->now * n->drift;
+    n->drift = 1.0 + 0.0005 * sim_uniform(s);
+    n->offset = 100 + 1000 * sim_uniform(s) - s->now * n->drift;
     double now = n->offset + s->now * n->drift;
     if (n->old && sim_old_engine) {
         n->old_node = sim_old_engine->open(n->settings, &net, now);
@@ -1142,6 +1123,20 @@
     return k ? k->value : NULL;
 }
 
+bool sim_saved(struct sim *s, const char *job, uint32_t task) {
+    char key[RP_KEY_MAX];
+    uint8_t bits[RP_CHUNK_BYTES] = {0};
+    rp_key_progress(key, job, 0);
+    struct sim_key *chunk = key_find(s, key);
+    rp_key_unit(key, job, 0);
+    struct sim_key *unit = key_find(s, key);
+    if (chunk && !rp_record_progress_read(chunk->value, bits, (SIM_JOB_TASKS + 7) / 8))
+        abort();
+    if (unit && !rp_record_progress_read(unit->value, bits, (SIM_JOB_TASKS + 7) / 8))
+        abort();
+    return bits[task / 8] >> (task % 8) & 1;
+}
+
 size_t sim_count_stored(struct sim *s, const char *prefix) {
     size_t n = 0;
     for (int i = 0; i < s->n_keys; i++)
@@ -1180,22 +1175,19 @@
 
 /* ---- users ---- */
 
-static void user_send(struct sim *s, int job, int op) {
+void sim_user_send(struct sim *s, int job, enum sim_user_op op, int node) {
     static const char *const ends[] = {"", "", "/cancel"};
     char target[128];
-    int node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
-    snprintf(target, sizeof target, op == 0 ? "/v1/jobs%.0s%.0s" : "/v1/jobs/%s%s",
+    if (s->cut_node == node + 1)
+        return;
+    snprintf(target, sizeof target, op == USER_SUBMITS ? "/v1/jobs%.0s%.0s" : "/v1/jobs/%s%s",
              s->jobs[job].spec.id, ends[op]);
-    node_receive(s, node, op == 1 ? "GET" : "POST", target, op == 0 ? s->jobs[job].body : "",
-                 EV_USER, job, 0, op);
+    sim_ask(s, node, op == USER_POLLS ? "GET" : "POST", target,
+            op == USER_SUBMITS ? s->jobs[job].body : "", EV_USER, job, op);
 }
 
-static void check_done(struct sim *s, const struct sim_job *job) {
-    if (job->spec.kind == RP_SERVICE)
-        broken(s, "not_done: service %s is called done", job->spec.id);
-    for (uint32_t i = 0; i < job->spec.n_tasks; i++)
-        if (!job->done[i])
-            broken(s, "not_done: %s/%u", job->spec.id, i);
+static void user_send(struct sim *s, int job, enum sim_user_op op) {
+    sim_user_send(s, job, op, (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes));
 }
 
 static void user_answered(struct sim *s, const struct sim_event *e) {
@@ -1205,30 +1197,41 @@
     json_t *body = json_loads(e->body, 0, NULL);
     const char *word = json_string_value(json_object_get(body, "tension"));
     if (e->status == 404 && job->accepted)
-        broken(s, "forgotten: %s gets 404", job->spec.id);
+        sim_broken(s, "forgotten: %s gets 404", job->spec.id);
     if ((e->status == 400 || e->status == 422) && job->accepted)
-        broken(s, "forgotten: %s gets %d", job->spec.id, e->status);
+        sim_broken(s, "forgotten: %s gets %d", job->spec.id, e->status);
+    if (s->breakage == SIM_ANSWERS_ARE_OLD && job->told_done)
+        word = "pending";
     if (word) {
         job->known_at = s->now;
-        if (!job->accepted)
+        if (!job->accepted) {
             job->accepted_at = s->now;
-        job->accepted = true;
+            job->accepted = true;
+            if (job->cancel_on_acceptance)
+                job->cancel_at = s->now;
+            sim_look_closely(s, e->worker);
+        }
         if (strcmp(word, "done") == 0) {
             if (job->told_cancelled)
-                broken(s, "went_back: %s", job->spec.id);
-            check_done(s, job);
+                sim_broken(s, "went_back: %s", job->spec.id);
+            sim_check_done(s, job);
             s->n_done_jobs += !job->told_done;
-            job->told_at = job->told_done ? job->told_at : s->now;
-            job->told_done = true;
+            if (!job->told_done) {
+                job->told_at = s->now;
+                job->told_done = true;
+                sim_look_closely(s, e->worker);
+            }
         } else if (strcmp(word, "aborted") == 0) {
             if (job->told_done || !job->cancel_asked)
-                broken(s, "went_back: %s cancelled", job->spec.id);
-            if (!job->told_cancelled)
+                sim_broken(s, "went_back: %s cancelled", job->spec.id);
+            if (!job->told_cancelled) {
                 job->cancelled_at = job->told_at = s->now;
-            job->told_cancelled = true;
+                job->told_cancelled = true;
+                sim_look_closely(s, e->worker);
+            }
         } else if ((job->told_done || job->told_cancelled) && e->asked > job->told_at) {
             /* An answer may cross another on its way: only what was asked afterwards counts. */
-            broken(s, "went_back: %s is %s", job->spec.id, word);
+            sim_broken(s, "went_back: %s is %s", job->spec.id, word);
         }
     }
     json_decref(body);
@@ -1238,21 +1241,25 @@
     struct sim_job *job = &s->jobs[index];
     if (s->now < job->submit_at)
         return;
-    if (!job->accepted || chance(s, 0.0002)) {
+    if (!job->accepted || sim_chance(s, 0.0002)) {
         if (!job->accepted)
             job->submit_at = s->now + 1;
-        user_send(s, index, 0);
+        user_send(s, index, USER_SUBMITS);
         return;
     }
-    if (job->cancel_at > 0 && s->now > job->cancel_at && !job->told_cancelled && !job->told_done) {
+    bool over = job->told_cancelled || job->told_done;
+    if (job->cancel_at > 0 && s->now > job->cancel_at && (!over || job->cancel_again)) {
+        job->cancel_again = job->cancel_again && !over; /* once more, when it is over */
         job->cancel_asked = true;
         job->cancel_at = s->now + 1;
-        user_send(s, index, 2);
+        user_send(s, index, USER_CANCELS);
     }
     if (s->now > job->poll_at) {
-        job->poll_at = s->now + 2 + 3 * uniform(s);
+        /* Hundreds of users who go on asking about what is over would be all that is measured. */
+        bool seldom = over && s->n_jobs > 128;
+        job->poll_at = s->now + (seldom ? 20 : 2) + 3 * sim_uniform(s);
         s->n_polls++;
-        user_send(s, index, 1);
+        user_send(s, index, USER_POLLS);
     }
 }
 
@@ -1288,6 +1295,19 @@
     return s->n_jobs++;
 }
 
+void sim_change(struct sim *s, int index, const char *field, json_t *value) {
+    struct sim_job *job = &s->jobs[index];
+    char why[128];
+    json_t *v = json_loads(job->body, 0, NULL);
+    json_object_set_new(v, field, value);
+    rp_job_spec_free(&job->spec);
+    if (!rp_wire_spec_read(v, &job->spec, why))
+        abort();
+    free(job->body);
+    job->body = json_dumps(v, JSON_COMPACT);
+    json_decref(v);
+}
+
 int sim_submit_long(struct sim *s, double at, unsigned tasks, double run_s) {
     int index = sim_submit(s, at, "sweep", tasks, 1, run_s, 0);
     struct sim_job *job = &s->jobs[index];
@@ -1310,6 +1330,20 @@
 
 /* ---- the world's steps ---- */
 
+/* A zone that is cut off keeps working inside, with the node that is in it. */
+static void report_arrives(struct sim *s, const struct sim_event *e) {
+    for (int node = 0; node < s->n_nodes; node++) {
+        bool inside = s->cut_node == node + 1;
+        bool from_inside = s->cut_zone && s->cut_zone == s->workers[e->worker].zone + 1;
+        if ((node != e->node && !e->for_next) || s->cut_from_workers == node + 1 ||
+            inside != from_inside)
+            continue;
+        node_receive(s, node, "POST", RP_PATH_REPORT, e->body, EV_REPORT_ANSWER, e->worker,
+                     e->flight, 0);
+    }
+    s->n_kept -= e->for_next;
+}
+
 static void happen(struct sim *s) {
     for (int i = 0; i < s->n_events; i++) {
         struct sim_event *e = s->events[i];
@@ -1324,10 +1358,7 @@
             over = request_arrives(s, e);
             break;
         case EV_REPORT:
-            if (s->cut_from_workers == e->node + 1 || s->cut_zone == s->workers[e->worker].zone + 1)
-                break;
-            node_receive(s, e->node, "POST", RP_PATH_REPORT, e->body, EV_REPORT_ANSWER, e->worker,
-                         e->flight, 0);
+            report_arrives(s, e);
             break;
         case EV_REPORT_ANSWER:
             report_answered(s, e);
@@ -1335,7 +1366,11 @@
         case EV_USER:
             user_answered(s, e);
             break;
-        case EV_ANSWER:
+        case EV_LOOK:
+            sim_user_send(s, e->worker, (enum sim_user_op)e->user_op, e->node);
+            break;
+        case EV_ODD:
+            sim_check_odd(s, e);
             break;
         }
         if (over) {
@@ -1347,49 +1382,6 @@
     }
 }
 
-static bool every(struct sim *s, double mean) {
-    return mean > 0 && chance(s, STEP_S / mean);
-}
-
-static void trouble(struct sim *s) {
-    const struct sim_faults *f = &s->faults;
-    int node = (int)gsl_rng_uniform_int(s->rng, (unsigned long)s->n_nodes);
-    struct sim_worker *w = &s->workers[gsl_rng_uniform_int(s->rng, (unsigned long)s->size.workers)];
-    if (every(s, f->crash_s))
-        sim_crash(s, node, chance(s, 0.3) ? 0.1 : 3);
-    if (every(s, f->crash_s * 4))
-        for (int i = 0; i < s->n_nodes; i++)
-            sim_crash(s, i, 0.1 + 4 * uniform(s));
-    if (every(s, f->outage_s))
-        s->outage_until = s->now + 1 + 19 * uniform(s);
-    if (every(s, f->deaf_s))
-        s->nodes[node].deaf_until = s->now + 1 + 20 * uniform(s);
-    if (every(s, f->alone_s))
-        s->nodes[node].alone_until = s->now + 3 + 25 * uniform(s);
-    if (every(s, f->mute_s / 8))
-        w->mute_until = s->now + 3 + 50 * uniform(s);
-    if (every(s, f->blink_s))
-        sim_crash(s, node, 0.05 + 0.45 * uniform(s));
-    if (every(s, f->blink_s / 4) && w->used && w->up) {
-        w->n_tasks = 0; /* the machine was off for a moment: a new session, nothing on it */
-        w->session++;
-        w->answered_sent = s->now;
-        w->in_flight = false;
-        w->flight++;
-        w->next = s->now + 0.05 + 0.45 * uniform(s);
-    }
-    if (every(s, f->stall_s))
-        s->nodes[node].stalled_until = s->now + 12 * uniform(s);
-    if (every(s, f->hang_s / 8))
-        w->hung_until = s->now + 40 * uniform(s);
-    if (every(s, f->take_s / 8) && w->used && w->spot && w->taken_at <= 0) {
-        w->taken_at = s->now + (chance(s, 0.3) ? 0.01 : 5 + 10 * uniform(s));
-        w->changed = true;
-    }
-    if (every(s, f->death_s / 8) && w->used)
-        w->alive = false;
-}
-
 static void leases_step(struct sim *s) {
     /* Leases stand still during an outage, and have their full time again after it. */
     for (int i = 0; i < SIM_LEASES; i++) {
@@ -1401,96 +1393,11 @@
     }
 }
 
-static void check_cancelled(struct sim *s) {
-    for (int i = 0; i < s->size.workers; i++)
-        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
-             k++) {
-            const struct sim_task *t = &s->workers[i].tasks[k];
-            const struct sim_job *job = &s->jobs[t->job_index];
-            if (on_machine(t) && job->told_cancelled &&
-                s->now > job->cancelled_at + s->size.cancel_s)
-                broken(s, "ran_cancelled: %s/%u on %s", t->job, t->index, s->workers[i].name);
-        }
-}
-
-/* The users' addition to the rules. */
-static void check_known(struct sim *s) {
-    for (int i = 0; s->calm_since > 0 && i < s->n_jobs; i++) {
-        const struct sim_job *job = &s->jobs[i];
-        if (!job->accepted || job->cancel_asked || job->told_done)
-            continue;
-        double known = fmax(job->known_at, s->calm_since);
-        double since = fmax(job->accepted_at, s->calm_since);
-        if (s->now > known + FORGOTTEN_S)
-            broken(s, "forgotten: %s, nothing answered for %.0f s", job->spec.id, FORGOTTEN_S);
-        if (!job->begun && s->now > since + BEGIN_S)
-            broken(s, "not_begun: %s of %u tasks", job->spec.id, job->spec.n_tasks);
-    }
-}
-
-/* Replicas' time, counted from 10 s after acceptance; and, once the troubles are over, how long one
- * may be down. */
-static void check_replicas(struct sim *s) {
-    for (int j = 0; j < s->n_jobs; j++) {
-        struct sim_job *job = &s->jobs[j];
-        if (job->spec.kind != RP_SERVICE || !job->accepted || job->cancel_asked)
-            continue;
-        bool up[SIM_JOB_TASKS] = {false};
-        for (int i = 0; i < s->size.workers; i++)
-            for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
-                 k++)
-                if (s->workers[i].tasks[k].job_index == j &&
-                    s->workers[i].tasks[k].state == RP_TASK_RUNNING &&
-                    s->now >= s->workers[i].hung_until)
-                    up[s->workers[i].tasks[k].index] = true;
-        for (uint32_t t = 0; t < job->spec.n_tasks; t++) {
-            if (s->now > job->accepted_at + 10)
-                *(up[t] ? &job->up_s : &job->down_s) += STEP_S * 5;
-            if (up[t])
-                job->down_since[t] = 0;
-            else if (job->down_since[t] <= 0)
-                job->down_since[t] = s->now;
-            if (!up[t] && !job->faulty && s->calm_since > 0 &&
-                s->now > fmax(job->down_since[t], s->calm_since) + REPLICA_DOWN_S)
-                broken(s, "replica_down: %s/%u", job->spec.id, t);
-        }
-    }
-}
-
-void sim_check_served(struct sim *s) {
-    /* One team, two classes; the largest are those of LARGE tasks and more. */
-    unsigned asked[3] = {0}, served[3] = {0};
-    for (int i = 0; i < s->n_jobs; i++) {
-        const struct sim_job *job = &s->jobs[i];
-        if (!job->accepted || job->cancel_asked || job->spec.kind == RP_SERVICE)
-            continue;
-        int kinds[2] = {job->spec.kind == RP_GANG, job->spec.n_tasks >= LARGE ? 2 : -1};
-        for (int k = 0; k < 2; k++)
-            if (kinds[k] >= 0) {
-                asked[kinds[k]]++;
-                served[kinds[k]] += job->told_done;
-            }
-    }
-    for (int k = 0; k < 3; k++)
-        if (served[k] * 2 < asked[k])
-            broken(s, "not_served: %u of %u, kind %d", served[k], asked[k], k);
-}
-
-void sim_calm(struct sim *s) {
-    s->faults = (struct sim_faults){0};
-    s->calm_since = s->now;
-    s->outage_until = 0;
-    for (int i = 0; i < s->n_nodes; i++)
-        s->nodes[i].deaf_until = s->nodes[i].alone_until = 0;
-    for (int i = 0; i < s->size.workers; i++)
-        s->workers[i].mute_until = 0;
-}
-
 void sim_run(struct sim *s, double seconds) {
     double end = s->now + seconds;
     while (s->now < end && !s->broken[0]) {
-        s->now += STEP_S;
-        trouble(s);
+        s->now += SIM_STEP_S;
+        sim_trouble_step(s);
         leases_step(s);
         for (int i = 0; i < s->n_nodes; i++)
             node_step(s, i);
@@ -1499,10 +1406,8 @@
         for (int i = 0; i < s->n_jobs; i++)
             user_step(s, i);
         happen(s);
-        check_cancelled(s);
-        check_known(s);
-        if (++s->steps % 5 == 0)
-            check_replicas(s);
+        s->steps++;
+        sim_check_step(s);
     }
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -12,9 +12,9 @@
 #define SIM_NODES_MAX 5
 #define SIM_WORKERS 1400
 #define SIM_TASKS 64 /* on one machine */
-#define SIM_JOBS 128
+#define SIM_JOBS 640
 #define SIM_JOB_TASKS 40
-#define SIM_KEYS 2048
+#define SIM_KEYS 4096
 #define SIM_EVENTS 8192
 #define SIM_LEASES 64
 
@@ -25,17 +25,25 @@
     double repeat;     /* a copy of the request is carried out once more, later */
     double crash_s;    /* mean time between crashes of some node, 0: none */
     double outage_s;   /* mean time between outages of the state service */
-    double deaf_s;     /* mean time between single nodes' cuts from the state service */
+    double refused_s;  /* mean time between single nodes' cuts from the state service */
     double hang_s;     /* mean time between hangs of some worker */
     double death_s;    /* mean time between deaths of some worker */
     double stall_s;    /* mean time between stalls of some node */
     double take_s;     /* mean time between takings of some spot machine, most with notice */
     double task_error; /* chance that a task fails */
     double copies;     /* chance that a report's copy comes, seconds to several leases late */
-    double mute_s;  /* mean time until some machine's answers stop coming, though its reports go */
+    double deaf_s;  /* mean time until some machine's answers stop coming, though its reports go */
     double alone_s; /* mean time until a node loses state service and nodes, not the workers */
     double blink_s; /* mean time between ends of processes and machines that are back at once */
-    double end_s;   /* mean time until some replica of a service ends by itself */
+    double mute_s;  /* mean time until some machine reaches no node; direct commands reach it */
+    double apart_s; /* mean time until nodes can't connect to one another for a while */
+    double odd_s;   /* mean time between requests that are wrong in some way */
+    double slow;    /* share of the state service's answers that take up to 1.4 s */
+    double late_write;  /* a transaction gets no answer, and is carried out 2 to 12 s later */
+    double lost_answer; /* a transaction is carried out at once, only its answer is lost */
+    double kept;        /* a report's copy comes to every node just as the next leader begins */
+    double fast_boot;   /* a machine is up within two seconds */
+    double end_s;       /* mean time until some replica of a service ends by itself */
 };
 
 /* How large the world is, and its time constants. */
@@ -51,11 +59,15 @@
     SIM_SOUND,
     SIM_WORKERS_KEEP_TASKS, /* a lease's end kills nothing */
     SIM_STATE_IGNORES_CONDITIONS,
-    SIM_WORKERS_IGNORE_STOPS, /* cancelled tasks go on */
-    SIM_COPIES_LOOK_NEW,      /* copies of reports carry a number above all others */
-    SIM_POLLS_GET_LOST,       /* no question about the first job is answered */
-    SIM_LARGE_NEVER_BEGIN,    /* tasks of the largest jobs fetch their image for ever */
-    SIM_REPLICAS_NEVER_START  /* services' tasks fetch their image for ever */
+    SIM_WORKERS_IGNORE_STOPS,  /* cancelled tasks go on */
+    SIM_COPIES_LOOK_NEW,       /* copies of reports carry a number above all others */
+    SIM_POLLS_GET_LOST,        /* no question about the first job is answered */
+    SIM_LARGE_NEVER_BEGIN,     /* tasks of the largest jobs fetch their image for ever */
+    SIM_REPLICAS_NEVER_START,  /* services' tasks fetch their image for ever */
+    SIM_ODD_IS_TAKEN,          /* what can't run, or lacks a field, is accepted */
+    SIM_ANSWERS_ARE_OLD,       /* a job called done is called pending again */
+    SIM_RENEWED_WITHOUT_STOPS, /* workers take answers for renewals, and leave the stops undone */
+    SIM_STARTS_GET_LOST        /* no start of the second job's tasks is executed */
 };
 
 /* Where nodes of the version before come from: the really built one (tests/mixed/run), or, NULL,
@@ -76,7 +88,8 @@
     const char *why;
     bool saved;
     double ready; /* image fetched, saved */
-    double began; /* running since */
+    double began; /* running since, saved progress taken off */
+    double stopped;
 };
 
 struct sim_worker {
@@ -84,8 +97,10 @@
     char name[RP_TEXT_MAX];
     int type, zone;
     bool spot;
-    double rented, boots, hung_until, mute_until;
-    double taken_at; /* 0: not to be taken */
+    double rented, boots, hung_until;
+    double deaf_until; /* its reports arrive, answers and direct commands don't */
+    double mute_until; /* it reaches no node, direct commands reach it */
+    double taken_at;   /* 0: not to be taken */
     uint64_t session, seq, token;
     double answered_sent; /* when the last answered report was sent */
     struct sim_task tasks[SIM_TASKS];
@@ -107,6 +122,11 @@
     double cancelled_at, told_at, accepted_at, poll_at, submit_at, cancel_at;
     bool done[SIM_JOB_TASKS];
     bool faulty;
+    double ran_s[SIM_JOB_TASKS]; /* saved progress of an array's task */
+    double stagger_s;            /* each task runs so much longer than the one before it */
+    bool cancel_at_end, cancel_on_acceptance;
+    bool cancel_again;                /* when it is over already */
+    double room_since;                /* it waits though there is room; 0: it doesn't */
     double down_since[SIM_JOB_TASKS]; /* of a replica; 0: it runs */
     double down_s, up_s;              /* replicas' time, summed up, from 10 s after acceptance on */
 };
@@ -120,7 +140,7 @@
     bool old;       /* of the version before */
     bool next_old;  /* once it has ended */
     char *settings; /* its settings file */
-    double drift, offset, back, stalled_until, deaf_until;
+    double drift, offset, back, stalled_until, refused_until;
     double alone_until; /* cut from the state service and the other nodes */
 };
 
@@ -162,16 +182,25 @@
     uint64_t next_lease, revision;
     json_t *log; /* changes, for watches */
     double outage_until;
+    double cloud_out_until;
     int held_worker;      /* 1 + the worker whose reports are held back, 0: none */
     double held_until;    /* and arrive then */
     int cut_zone;         /* 1 + the zone whose machines reach no node, 0: none */
+    int cut_node;         /* 1 + the node that is cut off with that zone, 0: none */
     int cut_from_workers; /* 1 + the node that no report reaches, 0: none */
-    json_t *rentals;      /* request name -> answer */
+    double apart_until;   /* no node can connect to another */
+    bool close_looks;     /* users look at all nodes after each change of a job */
+    uint64_t last_token;
+    json_t *rentals; /* request name -> answer */
     int next_machine;
     struct sim_event *events[SIM_EVENTS];
     int n_events;
     char broken[256]; /* the first rule that broke, "" for none */
     unsigned long n_starts, n_done_jobs;
+    /* Counted, so that tests can tell that a trouble came about. */
+    unsigned long n_late_writes, n_lost_answers, n_kept, n_kept_delivered, n_leaders, n_looks;
+    unsigned long n_odd, n_odd_answered, n_cancelled_at_end, n_direct_to_mute;
+    double late_start_s; /* from a confirmed cancellation to a start of the job, at the worst */
     /* Counted, so that tests can bound what things cost. */
     unsigned long n_state_reads, n_state_lists, n_rows_read, n_polls;
     double idle_s; /* between a task's exit and the next start on its machine, summed up */
@@ -193,8 +222,12 @@
 /* Submits a job at a time; returns its index. Gangs are urgent, but for "ensemble:low". */
 int sim_submit(struct sim *s, double at, const char *kind, unsigned tasks, double cpus,
                double run_s, double cancel_at);
+/* Another value for a field of a job that is still to be submitted. */
+void sim_change(struct sim *s, int index, const char *field, json_t *value);
 /* An array whose description is longer than the lowered limits let one value be. */
 int sim_submit_long(struct sim *s, double at, unsigned tasks, double run_s);
+/* Users call off so many jobs that run, at once; with `hang_s`, some of their machines hang. */
+void sim_cancel_now(struct sim *s, int count, double hang_s);
 bool sim_all_over(const struct sim *s);
 /* Kills a node's process; it comes back `back_s` later. */
 void sim_crash(struct sim *s, int node, double back_s);
@@ -207,6 +240,8 @@
 /* A record that stands in the state service from before. */
 void sim_store(struct sim *s, const char *key, const char *text);
 const json_t *sim_stored(struct sim *s, const char *key);
+/* Whether some record of progress holds the task's result. */
+bool sim_saved(struct sim *s, const char *job, uint32_t task);
 size_t sim_count_stored(struct sim *s, const char *prefix);
 int sim_leader(const struct sim *s);
 
--- /dev/null
+++ b/tests/sim_parts.h
@@ -0,0 +1,76 @@
+/* What the parts of the simulated world share: the world itself (sim.c), what goes wrong in it
+ * (sim_trouble.c), and the rules (sim_check.c). */
+#ifndef RP_SIM_PARTS_H
+#define RP_SIM_PARTS_H
+
+#include "sim.h"
+
+#define SIM_STEP_S 0.02
+#define SIM_LARGE 40 /* tasks of the largest jobs */
+
+enum event_kind {
+    EV_REQUEST,       /* a node's, to the state service, the cloud, a worker or another node */
+    EV_REPORT,        /* a worker's, to a node */
+    EV_REPORT_ANSWER, /* and back */
+    EV_LOOK,          /* a user is about to ask one certain node */
+    EV_USER,          /* a node's answer to a user */
+    EV_ODD            /* and to a request that is wrong in some way */
+};
+
+/* Something on its way. */
+struct sim_event {
+    enum event_kind kind;
+    double due;
+    int node;
+    unsigned long life;
+    char addr[64], method[8], *target, *body;
+    bool answered; /* nobody waits for the answer (any more) */
+    double deadline;
+    rp_answer_fn fn;
+    void *arg;
+    bool unsent; /* where no connection could be made */
+    int status;
+    int worker; /* or job, for users; or the status expected, for odd requests */
+    uint64_t flight;
+    int user_op;   /* enum sim_user_op */
+    double asked;  /* when the user sent the request */
+    bool for_next; /* a report's copy that is kept until a new leader begins */
+};
+
+enum sim_user_op { USER_SUBMITS, USER_POLLS, USER_CANCELS };
+
+struct sim_machine_type {
+    const char *name;
+    double cpus, gpus, memory, price, spot_price, boot;
+};
+extern const struct sim_machine_type sim_types[2];
+extern const char *const sim_zones[2];
+
+double sim_uniform(struct sim *s);
+bool sim_chance(struct sim *s, double p);
+/* Notes the first rule that breaks. */
+void sim_broken(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+struct sim_event *sim_event_new(struct sim *s, enum event_kind kind, double after);
+bool sim_on_machine(const struct sim_task *t);
+
+/* What a node is asked by a user, and where its answer goes. */
+void sim_ask(struct sim *s, int node, const char *method, const char *target, const char *body,
+             enum event_kind answer, int index, enum sim_user_op op);
+void sim_user_send(struct sim *s, int job, enum sim_user_op op, int node);
+
+/* The troubles of a step, and what users do that is odd. */
+void sim_trouble_step(struct sim *s);
+/* What happens to a transaction, or a report, on its way. */
+void sim_trouble_txn(struct sim *s, struct sim_event *e);
+void sim_trouble_report(struct sim *s, const struct sim_event *e);
+void sim_look_closely(struct sim *s, int job);
+
+/* The rules, at a start, at an answer, and after each step. */
+void sim_check_start(struct sim *s, const struct sim_worker *w, const struct sim_task *t);
+void sim_check_command(struct sim *s, const struct sim_job *job);
+void sim_check_renewal(struct sim *s, const struct sim_worker *w);
+void sim_check_done(struct sim *s, const struct sim_job *job);
+void sim_check_odd(struct sim *s, const struct sim_event *e);
+void sim_check_step(struct sim *s);
+
+#endif
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -260,7 +260,7 @@
     rp_loop_close(&loop);
 }
 
-int main(void) {
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(whole_and_split),
                                        cmocka_unit_test(chunks),
                                        cmocka_unit_test(until_close),
@@ -269,5 +269,6 @@
                                        cmocka_unit_test(random_bytes),
                                        cmocka_unit_test(idle_connections_make_room),
                                        cmocka_unit_test(unsent_is_known)};
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_meetings.c
@@ -0,0 +1,834 @@
+/* Days on which two troubles meet, as the operators met them (docs/safety.md has the list). The
+ * rules are checked after each step (sim_check.c); each test shows besides that its meeting came
+ * about. */
+#include "test.h"
+
+#include "log.h"
+#include "sim.h"
+
+#define REST_S 250
+
+static const struct sim_faults none = {0};
+
+/* Ends all troubles, and lets everything that was accepted come to its end. */
+static void rest(struct sim *s) {
+    sim_calm(s);
+    sim_run(s, REST_S);
+    sim_check_served(s);
+    if (s->broken[0])
+        fail_msg("%s", s->broken);
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
+static void run(struct sim *s, double seconds) {
+    sim_run(s, seconds);
+    if (s->broken[0])
+        fail_msg("%s", s->broken);
+}
+
+static struct rp_node *leader_of(const struct sim *s) {
+    assert_true(sim_leader(s) >= 0);
+    return s->nodes[sim_leader(s)].node;
+}
+
+static int running_tasks(const struct sim *s, int job) {
+    int n = 0;
+    for (int i = 0; i < s->size.workers; i++)
+        for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks; k++)
+            n += s->workers[i].tasks[k].job_index == job &&
+                 s->workers[i].tasks[k].state == RP_TASK_RUNNING;
+    return n;
+}
+
+static int all_running(const struct sim *s) {
+    int n = 0;
+    for (int j = 0; j < s->n_jobs; j++)
+        n += running_tasks(s, j);
+    return n;
+}
+
+/* Some work of every kind, long enough to be met by troubles. */
+static void submit_some(struct sim *s, double run_s) {
+    sim_submit(s, 1, "sweep", 20, 1, run_s, 0);
+    sim_submit(s, 1, "sweep", 40, 1, 8, 0);
+    sim_submit(s, 2, "ensemble", 3, 4, run_s / 2, 0);
+    sim_submit(s, 4, "sweep", 3, 1, run_s / 2, 0);
+    sim_submit(s, 20, "sweep", 30, 1, 6, 0);
+    sim_submit(s, 30, "ensemble", 2, 6, 10, 0);
+}
+
+/* ---- the state service refuses the leader alone, and then everybody ---- */
+
+static const struct sim_size wide = {64, 6, 4, 22, 47, 800, 80, 10};
+
+static void refused_then_out(unsigned long seed, const struct sim_size *size, double refused_s,
+                             double outage_after, double outage_s, double cancel_after) {
+    struct sim *s = sim_new_sized(seed, &none, SIM_SOUND, 3, size);
+    int confirmed = 0, running = 0;
+    for (int i = 0; i < 5; i++)
+        sim_submit(s, 1, "sweep", 12, 1, 150, 0);
+    run(s, 45);
+    running = all_running(s);
+    assert_true(running >= 50);
+    int leader = sim_leader(s);
+    double start = s->now;
+    s->nodes[leader].refused_until = start + refused_s;
+    for (int i = 0; i < 5; i++)
+        s->jobs[i].cancel_at = start + cancel_after;
+    run(s, outage_after);
+    for (int i = 0; i < 5; i++)
+        confirmed += s->jobs[i].told_cancelled;
+    /* The meeting came about: users were told by others, the leader didn't hear of it. */
+    assert_true(confirmed >= 1);
+    assert_true(rp_jobs_stale_s(&s->nodes[leader].node->jobs) > 0);
+    s->outage_until = s->now + outage_s;
+    run(s, fmax(s->size.cancel_s + 20, outage_s + 20));
+    rest(s);
+}
+
+/* Refused alone for a moment, then an outage for longer than cancel_s; the refusal ends before the
+ * outage, in it and after it. The workers report to the old leader all along. */
+static void leader_refused_then_outage(void **state) {
+    static const struct sim_size small = {64, 6, 2, 14, 39, 200, 20, 5};
+    const struct sim_size *sizes[] = {&small, &wide};
+    (void)state;
+    for (int k = 0; k < 2; k++)
+        for (unsigned long seed = 1; seed <= 3; seed++) {
+            double outage = sizes[k]->cancel_s + 12;
+            refused_then_out(seed, sizes[k], 14, 2, outage, 0);
+            refused_then_out(seed + 10, sizes[k], 1.8, 2, outage, 0.1);
+            refused_then_out(seed + 20, sizes[k], outage + 20, 2, outage, 0.1);
+            refused_then_out(seed + 30, sizes[k], 9.5, 9, outage, 6);
+        }
+}
+
+/* An outage that the leader's lease outlives again and again: leases have their full time after
+ * each, and the leader is refused whenever there is none. Nobody can take over, and it hears of
+ * nothing. */
+static void leader_refused_between_outages(void **state) {
+    (void)state;
+    for (unsigned long seed = 40; seed < 44; seed++) {
+        struct sim *s = sim_new_sized(seed, &none, SIM_SOUND, 3, &wide);
+        int confirmed = 0;
+        for (int i = 0; i < 5; i++)
+            sim_submit(s, 1, "sweep", 12, 1, 150, 0);
+        run(s, 45);
+        int leader = sim_leader(s);
+        s->nodes[leader].refused_until = s->now + 5 * 9;
+        for (int i = 0; i < 5; i++)
+            s->jobs[i].cancel_at = s->now;
+        for (int round = 0; round < 5; round++) {
+            run(s, 3);
+            for (int i = 0; i < 5; i++)
+                confirmed += s->jobs[i].told_cancelled;
+            s->outage_until = s->now + 6;
+            run(s, 6);
+        }
+        assert_true(confirmed >= 1);
+        rest(s);
+    }
+}
+
+/* An old leader that is let in again after an outage, its lease alive, has heard nothing for long:
+ * it answers no worker before it has read what was written. */
+static void leader_catches_up_before_it_answers(void **state) {
+    struct sim *s = sim_new_sized(50, &none, SIM_SOUND, 3, &wide);
+    (void)state;
+    for (int i = 0; i < 5; i++)
+        sim_submit(s, 1, "sweep", 12, 1, 200, 0);
+    run(s, 45);
+    int leader = sim_leader(s);
+    struct rp_node *n = s->nodes[leader].node;
+    unsigned long life = s->nodes[leader].life;
+    uint64_t token = n->election.token;
+    double most = rp_settings_news_s(n->settings);
+    s->nodes[leader].refused_until = s->now + 2;
+    s->jobs[0].cancel_at = s->now;
+    run(s, 1.9);
+    assert_true(s->jobs[0].told_cancelled);
+    s->outage_until = s->now + 18;
+    run(s, 17.9);
+    assert_true(rp_jobs_stale_s(&n->jobs) > most);
+    assert_false(rp_jobs_may_answer(&n->jobs));
+    for (int i = 0; i < 400 && !rp_jobs_may_answer(&n->jobs); i++)
+        run(s, 0.02);
+    /* It leads on, knows of the cancellation before it answers, and no task of it is let run on. */
+    assert_true(s->nodes[leader].life == life && n->election.token == token);
+    const struct rp_job *job = rp_jobs_find(&n->jobs, s->jobs[0].spec.id);
+    assert_true(!job || job->state == RP_JOB_CLOSED);
+    run(s, 8);
+    assert_int_equal(running_tasks(s, 0), 0);
+    assert_true(n->election.token == token);
+    rest(s);
+}
+
+/* While other nodes confirm cancellations that the refused leader can't hear of, it starts nothing:
+ * it went on for 9 s. */
+static void refused_leader_starts_nothing(void **state) {
+    int confirmed = 0;
+    (void)state;
+    for (unsigned long seed = 60; seed < 66; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 40; i++)
+            sim_submit(s, 1, "sweep", 12, 1, 4, 0);
+        run(s, 30);
+        s->nodes[sim_leader(s)].refused_until = s->now + 12;
+        for (int i = 0; i < 40; i++)
+            s->jobs[i].cancel_at = s->now + 0.1;
+        run(s, 30);
+        for (int i = 0; i < 40; i++)
+            confirmed += s->jobs[i].told_cancelled;
+        /* A look at the others takes 2 s at the most, a start's answer is on its way for less. */
+        assert_true(s->late_start_s < 2.6);
+        rest(s);
+    }
+    assert_true(confirmed >= 60);
+}
+
+/* ---- changes of leader ---- */
+
+/* Jobs are cancelled in the very seconds in which the work of one node goes to another: by an end,
+ * a restart within a split second, or leadership given up. */
+static void cancelled_while_work_changes_hands(void **state) {
+    int confirmed = 0;
+    (void)state;
+    for (unsigned long seed = 100; seed < 108; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 10; i++)
+            sim_submit(s, 1, "sweep", 6, 1, 120, 0);
+        run(s, 40);
+        uint64_t token = leader_of(s)->election.token;
+        for (int i = 0; i < 10; i++)
+            s->jobs[i].cancel_at = s->now - 0.5 + 0.5 * i;
+        if (seed % 3 == 0)
+            sim_crash(s, sim_leader(s), 3);
+        else if (seed % 3 == 1)
+            sim_crash(s, sim_leader(s), 0.2);
+        else
+            rp_election_resign(&leader_of(s)->election, 5);
+        run(s, 16);
+        assert_true(leader_of(s)->election.token > token);
+        for (int i = 0; i < 10; i++)
+            confirmed += s->jobs[i].told_cancelled;
+        rest(s);
+    }
+    assert_true(confirmed >= 70);
+}
+
+/* The first answers of a new leader came without stops, and renewed the leases of cancelled tasks:
+ * a machine that hung right then ran them for one more lease. Here the old leader is refused by the
+ * state service, an outage gives its key another 10 s, and its workers still hold their leases when
+ * the new one begins, more than cancel_s - lease_s after the cancellations. */
+static void first_answers_carry_stops(void **state) {
+    int hung = 0;
+    (void)state;
+    for (unsigned long seed = 110; seed < 116; seed++) {
+        struct sim *s = sim_new_sized(seed, &none, SIM_SOUND, 3, &wide);
+        for (int i = 0; i < 5; i++)
+            sim_submit(s, 1, "sweep", 12, 1, 100, 0);
+        run(s, 40);
+        int leader = sim_leader(s);
+        s->nodes[leader].refused_until = s->now + 60;
+        for (int i = 0; i < 3; i++)
+            s->jobs[i].cancel_at = s->now;
+        run(s, 2.5);
+        assert_true(s->jobs[0].told_cancelled || s->jobs[1].told_cancelled);
+        s->outage_until = s->now + 8;
+        run(s, 8);
+        for (int i = 0; i < 1000 && (sim_leader(s) < 0 || sim_leader(s) == leader); i++)
+            run(s, 0.02);
+        assert_true(sim_leader(s) != leader);
+        for (int i = 0; i < 150; i++) {
+            run(s, 0.02);
+            for (int k = 0; k < s->size.workers; k++) {
+                struct sim_worker *w = &s->workers[k];
+                /* It hangs as soon as it has taken the new leader's first answer. */
+                if (w->used && w->up && w->n_tasks > 0 && w->hung_until <= 0 && w->session == 1 &&
+                    w->token == leader_of(s)->election.token) {
+                    w->hung_until = s->now + 21;
+                    hung++;
+                }
+            }
+        }
+        run(s, 40);
+        rest(s);
+    }
+    assert_true(hung >= 20);
+}
+
+/* A machine that is about to go back was answered without stops, while the cloud didn't answer. */
+static void returning_machine_gets_stops(void **state) {
+    struct sim *s = sim_new(118, &none, SIM_SOUND, 3);
+    (void)state;
+    for (int i = 0; i < 5; i++)
+        sim_submit(s, 1, "sweep", 12, 1, 100, 0);
+    run(s, 40);
+    struct rp_node *n = leader_of(s);
+    int on_it = 0;
+    s->cloud_out_until = s->now + 60;
+    for (struct rp_machine *m = n->picture.first; m; m = m->next)
+        if (m->state == RP_MACHINE_UP && m->n_places > 0) {
+            on_it += (int)m->n_places;
+            rp_fleet_return(&n->fleet, m, "to see what becomes of its tasks");
+        }
+    assert_true(on_it >= 50);
+    run(s, 1);
+    for (int i = 0; i < 5; i++)
+        s->jobs[i].cancel_at = s->now;
+    run(s, 8);
+    assert_int_equal(all_running(s), 0);
+    rest(s);
+}
+
+static void ten_leaders(void **state) {
+    (void)state;
+    for (unsigned long seed = 120; seed < 124; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        unsigned changes = 0;
+        submit_some(s, 40);
+        run(s, 20);
+        for (int i = 0; i < 12; i++) {
+            s->jobs[i % s->n_jobs].cancel_at = i == 5 ? s->now : 0;
+            uint64_t token = sim_leader(s) >= 0 ? leader_of(s)->election.token : 0;
+            if (sim_leader(s) >= 0)
+                sim_crash(s, sim_leader(s), i % 2 ? 0.1 : 3);
+            if (i == 6)
+                s->outage_until = s->now + 12;
+            run(s, 10);
+            changes += sim_leader(s) >= 0 && leader_of(s)->election.token != token;
+        }
+        assert_true(changes >= 10);
+        rest(s);
+    }
+}
+
+/* Nodes hand over and back, all end, and one returns, all within seconds. */
+static void hand_over_and_back(void **state) {
+    (void)state;
+    for (unsigned long seed = 130; seed < 136; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        submit_some(s, 60);
+        run(s, 25);
+        int first = sim_leader(s);
+        for (int turn = 0; turn < 4; turn++) {
+            if (sim_leader(s) >= 0)
+                rp_election_resign(&leader_of(s)->election, 1);
+            run(s, 0.3 + 0.7 * (turn % 2));
+            s->jobs[turn].cancel_at = turn == 1 ? s->now : 0;
+        }
+        for (int i = 0; i < s->n_nodes; i++)
+            sim_crash(s, i, i == first ? 0.05 + 0.1 * (double)(seed % 8) : 25);
+        run(s, 13);                             /* another's key takes its lease to go */
+        assert_int_equal(sim_leader(s), first); /* alone, and back within a second */
+        run(s, 30);
+        rest(s);
+    }
+}
+
+/* Every node is away for longer than the workers' lease. */
+static void all_nodes_away(void **state) {
+    (void)state;
+    for (unsigned long seed = 140; seed < 144; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        submit_some(s, 60);
+        run(s, 25);
+        s->jobs[0].cancel_at = s->now - 0.3;
+        run(s, 0.1);
+        for (int i = 0; i < s->n_nodes; i++)
+            sim_crash(s, i, s->size.lease_s + 3 + i);
+        run(s, s->size.lease_s + 2);
+        assert_int_equal(all_running(s), 0);
+        rest(s);
+    }
+}
+
+/* The tasks of a job end far apart, the leader changes in between, and writes come late: no result
+ * is lost that a worker has forgotten. */
+static void tasks_that_end_far_apart(void **state) {
+    static const struct sim_faults f = {.late_write = 0.3};
+    unsigned long late = 0;
+    (void)state;
+    for (unsigned long seed = 150; seed < 158; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        for (int i = 0; i < 8; i++) {
+            int j = sim_submit(s, 1 + i, "sweep", 3, 1, 6, 0);
+            s->jobs[j].stagger_s = 25;
+        }
+        run(s, 30);
+        sim_crash(s, sim_leader(s), 3);
+        run(s, 60);
+        late += s->n_late_writes;
+        rest(s);
+    }
+    assert_true(late >= 100);
+}
+
+/* ---- transactions ---- */
+
+/* No answer, and carried out seconds later, after newer ones of the same node. */
+static void late_transactions(void **state) {
+    static const struct sim_faults f = {.late_write = 0.15, .crash_s = 40};
+    unsigned long late = 0; /* counted, to show that the meeting came about */
+    (void)state;
+    for (unsigned long seed = 200; seed < 208; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 30);
+        s->jobs[0].cancel_at = 45;
+        s->jobs[1].cancel_on_acceptance = true;
+        for (int i = 0; i < 20; i++)
+            sim_submit(s, 25 + i * 4, "sweep", 1 + (unsigned)i % 4, 1, 5, i % 5 ? 0 : 30 + i * 4);
+        run(s, 120);
+        late += s->n_late_writes;
+        rest(s);
+    }
+    assert_true(late >= 100);
+}
+
+/* A write of progress that comes late took results away that a newer one held: their workers had
+ * forgotten them, and after a change of leader the tasks ran again. */
+static void late_progress_takes_nothing_away(void **state) {
+    unsigned long late = 0;
+    (void)state;
+    for (unsigned long seed = 210; seed < 216; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        int j = sim_submit(s, 1, "sweep", 40, 1, 5, 0);
+        s->jobs[j].stagger_s = 0.8;
+        size_t most = 0;
+        run(s, 12);
+        s->faults.late_write = 0.4;
+        for (int i = 0; i < 300 && !s->jobs[j].told_done; i++) {
+            size_t bits = 0;
+            run(s, 0.1);
+            for (uint32_t t = 0; t < 40; t++)
+                bits += sim_saved(s, s->jobs[j].spec.id, t);
+            /* (The record goes when the job is over.) */
+            if (bits > 0 || sim_count_stored(s, RP_KEY_OPEN) > 0)
+                assert_true(bits >= most);
+            most = bits > most ? bits : most;
+        }
+        assert_true(most >= 5);
+        late += s->n_late_writes;
+        rest(s);
+    }
+    assert_true(late >= 20);
+}
+
+/* Carried out at once, only the answer is lost, while others read what it wrote. */
+static void lost_answers(void **state) {
+    static const struct sim_faults f = {.lost_answer = 0.3, .crash_s = 50};
+    unsigned long lost = 0;
+    (void)state;
+    for (unsigned long seed = 220; seed < 228; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        s->close_looks = true;
+        submit_some(s, 30);
+        s->jobs[0].cancel_at = 40;
+        s->jobs[4].cancel_on_acceptance = true;
+        run(s, 100);
+        lost += s->n_lost_answers;
+        assert_true(s->n_looks >= 50);
+        rest(s);
+    }
+    assert_true(lost >= 150);
+}
+
+/* ---- users ---- */
+
+static void four_jobs_a_second(void **state) {
+    (void)state;
+    for (unsigned long seed = 300; seed < 302; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 480; i++)
+            sim_submit(s, 5 + 0.25 * i, "sweep", 1, 1, 4, i % 4 ? 0 : 5.5 + 0.25 * i + i % 7);
+        run(s, 60);
+        sim_crash(s, sim_leader(s), 3);
+        run(s, 70);
+        int over = 0, cancelled = 0;
+        for (int i = 0; i < s->n_jobs; i++) {
+            over += s->jobs[i].told_done || s->jobs[i].told_cancelled;
+            cancelled += s->jobs[i].told_cancelled;
+        }
+        assert_true(over >= 440);
+        assert_true(cancelled >= 40);
+        rest(s);
+    }
+}
+
+/* Cancellations, questions and repeated submissions meet the end of the last task. */
+static void ends_meet_requests(void **state) {
+    static const struct sim_faults troubled = {.crash_s = 30, .late_write = 0.05};
+    unsigned long met = 0, done = 0, cancelled = 0;
+    (void)state;
+    for (unsigned long seed = 310; seed < 318; seed++) {
+        struct sim *s = sim_new(seed, seed % 2 ? &none : &troubled, SIM_SOUND, 3);
+        s->close_looks = true;
+        for (int i = 0; i < 40; i++) {
+            int j = sim_submit(s, 1 + i * 2, "sweep", 1 + (unsigned)i % 3, 1, 2 + i % 5, 0);
+            s->jobs[j].cancel_at_end = i % 2;
+            s->jobs[j].cancel_again = true;
+        }
+        run(s, 110);
+        met += s->n_cancelled_at_end;
+        for (int i = 0; i < s->n_jobs; i++) {
+            done += s->jobs[i].cancel_asked && s->jobs[i].told_done;
+            cancelled += s->jobs[i].told_cancelled;
+        }
+        rest(s);
+    }
+    assert_true(met >= 100);
+    assert_true(done >= 10 && cancelled >= 10); /* both came first at times */
+}
+
+/* Users look at all nodes within milliseconds after a job was accepted, ended or cancelled, and
+ * submit it again; some cancel at once. */
+static void close_looks(void **state) {
+    static const struct sim_faults f = {
+        .crash_s = 30, .refused_s = 30, .lose = 0.01, .repeat = 0.05, .slow = 0.1};
+    (void)state;
+    for (unsigned long seed = 320; seed < 326; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        s->close_looks = true;
+        for (int i = 0; i < 40; i++) {
+            int j = sim_submit(s, 1 + i * 2, "sweep", 1 + (unsigned)i % 4, 1, 3, 0);
+            s->jobs[j].cancel_on_acceptance = i % 3 == 0;
+            s->jobs[j].cancel_again = i % 2;
+        }
+        run(s, 110);
+        assert_true(s->n_looks >= 40 * 9);
+        rest(s);
+    }
+}
+
+/* What can't run, or lacks a field, is refused by every node, in trouble too, and never accepted;
+ * a job that nobody submitted stays unknown. */
+static void odd_requests(void **state) {
+    static const struct sim_faults f = {
+        .odd_s = 0.5, .crash_s = 30, .outage_s = 40, .refused_s = 40, .late_write = 0.03};
+    unsigned long answered = 0, asked = 0;
+    (void)state;
+    for (unsigned long seed = 330; seed < 336; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 30);
+        run(s, 110);
+        assert_int_equal(sim_count_stored(s, RP_KEY_OPEN "j-9"), 0);
+        assert_int_equal(sim_count_stored(s, RP_KEY_OVER "j-9"), 0);
+        asked += s->n_odd;
+        answered += s->n_odd_answered;
+        rest(s);
+    }
+    assert_true(asked >= 1000 && answered * 2 > asked);
+}
+
+/* ---- machines ---- */
+
+/* The leader ends while machines with long tasks reach no node, hang, or don't hear the new one. */
+static void leader_ends_machines_out_of_reach(void **state) {
+    (void)state;
+    for (unsigned long seed = 400; seed < 409; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        int out = 0;
+        for (int i = 0; i < 8; i++)
+            sim_submit(s, 1, "sweep", 7, 1, 100, i % 2 ? 50 : 0);
+        run(s, 45);
+        double until = s->now + 5 + 5 * (double)(seed % 9);
+        for (int i = 0; i < s->size.workers; i++) {
+            struct sim_worker *w = &s->workers[i];
+            if (!w->used || !w->up || i % 2)
+                continue;
+            out++;
+            *(seed % 3 == 0   ? &w->mute_until
+              : seed % 3 == 1 ? &w->deaf_until
+                              : &w->hung_until) = until;
+        }
+        assert_true(out >= 2);
+        sim_crash(s, sim_leader(s), 3);
+        run(s, 70);
+        rest(s);
+    }
+}
+
+/* New machines are up within two seconds and get work at once while writes lag, and the leader ends
+ * before it has recorded them. */
+static void fast_machines_slow_writes(void **state) {
+    static const struct sim_faults f = {.fast_boot = 1, .late_write = 0.2, .slow = 0.5};
+    unsigned long late = 0;
+    (void)state;
+    for (unsigned long seed = 410; seed < 418; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 40);
+        for (int i = 0; i < 6; i++) {
+            run(s, 4 + 0.37 * (double)(seed % 5));
+            sim_submit(s, s->now, "sweep", 12, 2, 20, 0);
+            run(s, 0.5 + 0.4 * i);
+            if (sim_leader(s) >= 0)
+                sim_crash(s, sim_leader(s), i % 2 ? 0.3 : 4);
+            run(s, 8);
+        }
+        late += s->n_late_writes;
+        rest(s);
+    }
+    assert_true(late >= 60);
+}
+
+/* Machines that reach no node while direct commands reach them, under services' direct starts. */
+static void mute_machines(void **state) {
+    static const struct sim_faults f = {.mute_s = 8, .crash_s = 50};
+    unsigned long reached = 0;
+    (void)state;
+    for (unsigned long seed = 420; seed < 428; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 30);
+        for (int i = 0; i < 8; i++)
+            sim_submit(s, 15 + i * 10, "service", 3, 1, 0, 45 + i * 10);
+        run(s, 120);
+        reached += s->n_direct_to_mute;
+        rest(s);
+    }
+    assert_true(reached >= 10);
+}
+
+/* A command, or its answer, is held up with the machine, which then goes on; the job is cancelled
+ * meanwhile, or its user's replicas are wanted elsewhere. */
+static void held_up_commands(void **state) {
+    static const struct sim_faults f = {.hang_s = 5};
+    unsigned long direct = 0;
+    (void)state;
+    for (unsigned long seed = 430; seed < 438; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 30);
+        for (int i = 0; i < 10; i++)
+            sim_submit(s, 12 + i * 8, "service", 3, 1, 0, 12.6 + i * 8 + i % 4 * 7);
+        run(s, 60);
+        sim_crash(s, sim_leader(s), 0.2);
+        run(s, 60);
+        direct += s->n_direct;
+        rest(s);
+    }
+    assert_true(direct >= 100);
+}
+
+/* Users call off jobs that run, their machines hang at the same moment, for less than a lease and
+ * for longer; the leader changes or doesn't. */
+static void cancelled_on_hung_machines(void **state) {
+    int confirmed = 0;
+    (void)state;
+    for (unsigned long seed = 440; seed < 448; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 8; i++)
+            sim_submit(s, 1, "sweep", 7, 1, 150, 0);
+        run(s, 40);
+        sim_cancel_now(s, 5, 4 + 4 * (double)(seed % 8));
+        if (seed % 2)
+            sim_crash(s, sim_leader(s), 3);
+        run(s, 60);
+        for (int i = 0; i < 8; i++)
+            confirmed += s->jobs[i].told_cancelled;
+        rest(s);
+    }
+    assert_int_equal(confirmed, 40);
+}
+
+/* Every team is at its limit while jobs are cancelled on machines that are cut off or hang, and the
+ * leader changes: what waits may not start before the cancelled tasks are known to be gone. */
+static void full_team_meets_takeover(void **state) {
+    (void)state;
+    for (unsigned long seed = 450; seed < 458; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 10; i++)
+            sim_submit(s, 1 + i * 0.3, "sweep", 10, 1, 60, 0);
+        run(s, 40);
+        assert_true(all_running(s) >= 55); /* of 60 */
+        for (int i = 0; i < s->size.workers; i++)
+            if (s->workers[i].used && s->workers[i].up && i % 3 == 0)
+                *(seed % 2 ? &s->workers[i].hung_until : &s->workers[i].mute_until) =
+                    s->now + 4 + 4 * (double)(seed % 8);
+        sim_cancel_now(s, 4, 0);
+        sim_crash(s, sim_leader(s), seed % 4 ? 0.2 : 3);
+        run(s, 60);
+        rest(s);
+    }
+}
+
+/* Jobs that may run in one zone only lose machines, arrays too. */
+static void zone_bound_jobs_lose_machines(void **state) {
+    static const struct sim_faults f = {.death_s = 6, .take_s = 6, .crash_s = 60};
+    (void)state;
+    for (unsigned long seed = 460; seed < 466; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        for (int i = 0; i < 10; i++) {
+            int j = i % 3 ? sim_submit(s, 1 + i * 5, "sweep", 10, 1, 15, 0)
+                          : sim_submit(s, 1 + i * 5, "ensemble", 3, 4, 15, 0);
+            sim_change(s, j, "yard", json_string(i % 2 ? "a" : "b"));
+        }
+        run(s, 90);
+        rest(s);
+    }
+}
+
+/* A zone with its workers and a node, the leader or another, is cut off for longer than the lease;
+ * jobs are cancelled outside. */
+static void cut_zone_with_its_node(void **state) {
+    (void)state;
+    for (unsigned long seed = 470; seed < 478; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        for (int i = 0; i < 8; i++)
+            sim_submit(s, 1, "sweep", 7, 1, 60, 0);
+        run(s, 40);
+        int inside = seed % 2 ? sim_leader(s) : (sim_leader(s) + 1) % s->n_nodes;
+        s->cut_zone = 1 + (int)(seed / 2 % 2);
+        s->cut_node = inside + 1;
+        s->nodes[inside].alone_until = s->now + 30;
+        for (int i = 0; i < 4; i++)
+            s->jobs[i].cancel_at = s->now + i;
+        run(s, 30);
+        s->cut_zone = s->cut_node = 0;
+        run(s, 30);
+        for (int i = 0; i < 4; i++)
+            assert_true(s->jobs[i].told_cancelled);
+        rest(s);
+    }
+}
+
+/* ---- reports ---- */
+
+/* Copies come after newer ones, from earlier sessions and attempts too, beyond a lease; others are
+ * kept until the next leader acts, and come to every node just then. */
+static void old_reports(void **state) {
+    static const struct sim_faults f = {
+        .copies = 0.1, .kept = 0.1, .hang_s = 25, .crash_s = 25, .blink_s = 30};
+    unsigned long kept = 0, leaders = 0;
+    (void)state;
+    for (unsigned long seed = 500; seed < 510; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        submit_some(s, 25);
+        for (int i = 0; i < 6; i++)
+            sim_submit(s, 20 + i * 10, "sweep", 10, 2, 12, i % 3 ? 0 : 40 + i * 10);
+        run(s, 120);
+        kept += s->n_kept_delivered;
+        leaders += s->n_leaders;
+        rest(s);
+    }
+    assert_true(kept >= 200 && leaders >= 30);
+}
+
+/* A node loses the state service and the other nodes, not its workers and users, and jobs are
+ * cancelled through the new leader. */
+static void lonely_leader_and_cancellations(void **state) {
+    (void)state;
+    for (unsigned long seed = 520; seed < 526; seed++) {
+        struct sim *s = sim_new_sized(seed, &none, SIM_SOUND, seed % 2 ? 3 : 5, &wide);
+        for (int i = 0; i < 8; i++)
+            sim_submit(s, 1, "sweep", 7, 1, 120, 0);
+        run(s, 40);
+        int leader = sim_leader(s);
+        s->nodes[leader].alone_until = s->now + 45;
+        for (int i = 0; i < 6; i++)
+            s->jobs[i].cancel_at = s->now + 3 * i;
+        run(s, 20);
+        assert_true(sim_leader(s) != leader);
+        run(s, 50);
+        rest(s);
+    }
+}
+
+/* More work than room, urgent and not, over slow links to the state service. */
+static void more_work_than_room(void **state) {
+    static const struct sim_faults f = {.slow = 0.3, .lose = 0.02};
+    (void)state;
+    for (unsigned long seed = 530; seed < 533; seed++) {
+        struct sim *s = sim_new(seed, &f, SIM_SOUND, 3);
+        for (int i = 0; i < 30; i++)
+            sim_submit(s, 1 + i * 2, i % 5 ? "sweep" : "ensemble", i % 5 ? 20 : 3, i % 5 ? 2 : 8,
+                       15, i % 7 ? 0 : 40 + i);
+        run(s, 100);
+        sim_calm(s);
+        run(s, 200);
+        rest(s);
+    }
+}
+
+/* ---- any of them, by chance ---- */
+
+/* Two to four kinds of trouble at a time, drawn with their strength. */
+static void random_meetings(void **state) {
+    (void)state;
+    for (unsigned long seed = 600; seed < 630; seed++) {
+        struct sim_faults f = {0};
+        gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+        gsl_rng_set(rng, seed);
+        double *const often[] = {&f.crash_s, &f.outage_s, &f.refused_s, &f.hang_s,
+                                 &f.death_s, &f.stall_s,  &f.take_s,    &f.deaf_s,
+                                 &f.mute_s,  &f.alone_s,  &f.blink_s,   &f.apart_s};
+        double *const shares[] = {&f.lose,       &f.late,        &f.repeat, &f.copies,   &f.slow,
+                                  &f.late_write, &f.lost_answer, &f.kept,   &f.fast_boot};
+        for (unsigned long n = 2 + gsl_rng_uniform_int(rng, 3); n > 0; n--) {
+            unsigned long k = gsl_rng_uniform_int(rng, 21);
+            if (k < 12)
+                *often[k] = 10 + 30 * gsl_rng_uniform(rng);
+            else
+                *shares[k - 12] = 0.02 + 0.2 * gsl_rng_uniform(rng) * gsl_rng_uniform(rng);
+        }
+        gsl_rng_free(rng);
+        f.odd_s = 5;
+        struct sim *s =
+            sim_new_sized(seed, &f, SIM_SOUND, seed % 3 ? 3 : 5,
+                          seed % 2 ? &wide : &(struct sim_size){64, 6, 2, 14, 39, 200, 20, 5});
+        s->close_looks = seed % 2;
+        submit_some(s, 40);
+        for (int i = 0; i < 20; i++) {
+            int j = sim_submit(s, 10 + i * 5, i % 6 ? "sweep" : "ensemble", 1 + (unsigned)i % 5, 2,
+                               5 + i * 2, i % 4 ? 0 : 14 + i * 6);
+            s->jobs[j].cancel_at_end = i % 5 == 1;
+            s->jobs[j].cancel_on_acceptance = i % 9 == 5;
+        }
+        sim_submit(s, 30, "service", 3, 1, 0, 100);
+        sim_run(s, 70);
+        sim_cancel_now(s, 2, seed % 2 ? 10 : 0);
+        sim_run(s, 60);
+        sim_calm(s);
+        sim_run(s, REST_S);
+        sim_check_served(s);
+        if (s->broken[0])
+            fail_msg("seed %lu: %s", seed, s->broken);
+        if (!sim_all_over(s))
+            fail_msg("seed %lu: work left undone", seed);
+        sim_free(s);
+    }
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(leader_refused_then_outage),
+                                       cmocka_unit_test(leader_refused_between_outages),
+                                       cmocka_unit_test(leader_catches_up_before_it_answers),
+                                       cmocka_unit_test(refused_leader_starts_nothing),
+                                       cmocka_unit_test(cancelled_while_work_changes_hands),
+                                       cmocka_unit_test(first_answers_carry_stops),
+                                       cmocka_unit_test(returning_machine_gets_stops),
+                                       cmocka_unit_test(ten_leaders),
+                                       cmocka_unit_test(hand_over_and_back),
+                                       cmocka_unit_test(all_nodes_away),
+                                       cmocka_unit_test(tasks_that_end_far_apart),
+                                       cmocka_unit_test(late_transactions),
+                                       cmocka_unit_test(late_progress_takes_nothing_away),
+                                       cmocka_unit_test(lost_answers),
+                                       cmocka_unit_test(four_jobs_a_second),
+                                       cmocka_unit_test(ends_meet_requests),
+                                       cmocka_unit_test(close_looks),
+                                       cmocka_unit_test(odd_requests),
+                                       cmocka_unit_test(leader_ends_machines_out_of_reach),
+                                       cmocka_unit_test(fast_machines_slow_writes),
+                                       cmocka_unit_test(mute_machines),
+                                       cmocka_unit_test(held_up_commands),
+                                       cmocka_unit_test(cancelled_on_hung_machines),
+                                       cmocka_unit_test(full_team_meets_takeover),
+                                       cmocka_unit_test(zone_bound_jobs_lose_machines),
+                                       cmocka_unit_test(cut_zone_with_its_node),
+                                       cmocka_unit_test(old_reports),
+                                       cmocka_unit_test(lonely_leader_and_cancellations),
+                                       cmocka_unit_test(more_work_than_room),
+                                       cmocka_unit_test(random_meetings)};
+    rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
+    choose_test(argc, argv);
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -363,7 +363,7 @@
     free(g);
 }
 
-int main(void) {
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(formula_one),
                                        cmocka_unit_test(first_with_room),
                                        cmocka_unit_test(rents_most_capacity_per_price),
@@ -377,5 +377,6 @@
                                        cmocka_unit_test(spare_room_of_gpu_machines),
                                        cmocka_unit_test(full_machines_are_not_looked_at),
                                        cmocka_unit_test(random_pictures)};
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -148,6 +148,30 @@
     rp_settings_free(&s);
 }
 
+/* What a leader that hears of no cancellation renews last is over within cancel_s of any that it
+ * can't know of; and news that come as they should are never too old. */
+static void news_bound_keeps_cancellations(void **state) {
+    struct rp_settings s;
+    int sound = 0;
+    (void)state;
+    for (double lease = 4; lease < 60; lease *= 1.3)
+        for (double more = 1; more < 60; more *= 1.2) {
+            if (read_platform(lease, lease + more, "56", &s) == 0) {
+                double news = rp_settings_news_s(&s);
+                sound++;
+                assert_true(news > s.tuning.leader_ttl_s);
+                assert_true((news + lease) * 1.001 + 3 < lease + more);
+            } else {
+                assert_non_null(strstr(told, "cancel_s"));
+            }
+            rp_settings_free(&s);
+        }
+    assert_true(sound >= 100);
+    assert_int_equal(read_platform(14, 39, "56", &s), 0);
+    assert_true(rp_settings_news_s(&s) == s.tuning.leader_ttl_s + 4.5);
+    rp_settings_free(&s);
+}
+
 /* Whatever the text: read or refused, never a crash or a leak. */
 static void random_text(void **state) {
     static const char pieces[][20] = {"round_period_s",
@@ -185,10 +209,12 @@
     gsl_rng_free(rng);
 }
 
-int main(void) {
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(operators_file),    cmocka_unit_test(operators_mistakes),
         cmocka_unit_test(platform_file),     cmocka_unit_test(limits_to_come),
-        cmocka_unit_test(leader_lease_fits), cmocka_unit_test(random_text)};
+        cmocka_unit_test(leader_lease_fits), cmocka_unit_test(news_bound_keeps_cancellations),
+        cmocka_unit_test(random_text)};
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -61,12 +61,12 @@
 
 /* A node that alone gets no answer from the state service leaves the load balancer, and comes back;
  * in an outage, when all of them get none, all stay. */
-static void deaf_node_steps_aside(void **state) {
+static void refused_node_steps_aside(void **state) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(5, &none, SIM_SOUND, 3);
     (void)state;
     sim_run(s, 5);
-    s->nodes[1].deaf_until = s->now + 8;
+    s->nodes[1].refused_until = s->now + 8;
     sim_run(s, 4);
     assert_true(rp_node_healthy(s->nodes[0].node));
     assert_false(rp_node_healthy(s->nodes[1].node));
@@ -136,7 +136,7 @@
 }
 
 static void state_troubles(void **state) {
-    static const struct sim_faults f = {.outage_s = 40, .deaf_s = 25, .late = 0.01};
+    static const struct sim_faults f = {.outage_s = 40, .refused_s = 25, .late = 0.01};
     (void)state;
     days_of_trouble(&f, 300, 8);
 }
@@ -154,7 +154,7 @@
                                         .repeat = 0.03,
                                         .crash_s = 25,
                                         .outage_s = 80,
-                                        .deaf_s = 60,
+                                        .refused_s = 60,
                                         .hang_s = 25,
                                         .death_s = 40,
                                         .stall_s = 30,
@@ -164,8 +164,8 @@
 }
 
 /* Machines whose reports arrive while answers don't, with takeovers among it. */
-static void mute_machines(void **state) {
-    static const struct sim_faults f = {.mute_s = 12, .crash_s = 50};
+static void deaf_machines(void **state) {
+    static const struct sim_faults f = {.deaf_s = 12, .crash_s = 50};
     (void)state;
     days_of_trouble(&f, 600, 8);
 }
@@ -204,9 +204,9 @@
                                         .copies = 0.03,
                                         .crash_s = 30,
                                         .outage_s = 90,
-                                        .deaf_s = 60,
+                                        .refused_s = 60,
                                         .alone_s = 50,
-                                        .mute_s = 40,
+                                        .deaf_s = 40,
                                         .blink_s = 20,
                                         .hang_s = 30,
                                         .death_s = 50,
@@ -228,7 +228,7 @@
 
 /* A machine that reports but gets no answers looked like a good one for ever: starts went to it
  * again and again. It gets no more work, and goes back. */
-static void mute_machine_goes_back(void **state) {
+static void deaf_machine_goes_back(void **state) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(7, &none, SIM_SOUND, 3);
     char name[RP_TEXT_MAX];
@@ -237,7 +237,7 @@
         sim_submit(s, 1, "sweep", 40, 1, 12, 0);
     sim_run(s, 25);
     struct sim_worker *w = busiest_worker(s);
-    w->mute_until = s->now + 1000;
+    w->deaf_until = s->now + 1000;
     strcpy(name, w->name);
     sim_run(s, 35);
     struct rp_picture *p = &s->nodes[sim_leader(s)].node->picture;
@@ -254,7 +254,7 @@
 
 /* After a takeover such a machine shows no token: it kept all work of before from being started,
  * for as long as its reports were answered. */
-static void mute_machine_and_takeover(void **state) {
+static void deaf_machine_and_takeover(void **state) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(8, &none, SIM_SOUND, 3);
     (void)state;
@@ -262,7 +262,7 @@
         sim_submit(s, 1, "sweep", 40, 1, 20, 0);
     sim_run(s, 25);
     struct sim_worker *w = busiest_worker(s);
-    w->mute_until = s->now + 1000;
+    w->deaf_until = s->now + 1000;
     sim_crash(s, sim_leader(s), 3);
     sim_run(s, 45);
     assert_true(rp_picture_settled(&s->nodes[sim_leader(s)].node->picture));
@@ -679,24 +679,29 @@
     catches(SIM_STATE_IGNORES_CONDITIONS, &alone, ": "); /* whichever rule is first */
     catches(SIM_POLLS_GET_LOST, &calm, "forgotten");
     catches(SIM_LARGE_NEVER_BEGIN, &calm, "not_begun");
+    static const struct sim_faults odd = {.odd_s = 5};
+    catches(SIM_ODD_IS_TAKEN, &odd, "invented");
+    catches(SIM_ANSWERS_ARE_OLD, &calm, "went_back");
+    catches(SIM_STARTS_GET_LOST, &calm, "left_waiting");
+    catches(SIM_RENEWED_WITHOUT_STOPS, &calm, "kept_cancelled");
 }
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(quiet_day),
-                                       cmocka_unit_test(deaf_node_steps_aside),
+                                       cmocka_unit_test(refused_node_steps_aside),
                                        cmocka_unit_test(isolated_leader_gives_way),
                                        cmocka_unit_test(bad_network),
                                        cmocka_unit_test(crashes),
                                        cmocka_unit_test(state_troubles),
                                        cmocka_unit_test(machine_troubles),
                                        cmocka_unit_test(everything),
-                                       cmocka_unit_test(mute_machines),
+                                       cmocka_unit_test(deaf_machines),
                                        cmocka_unit_test(late_copies),
                                        cmocka_unit_test(lonely_nodes),
                                        cmocka_unit_test(split_second_returns),
                                        cmocka_unit_test(everything_on_five),
-                                       cmocka_unit_test(mute_machine_goes_back),
-                                       cmocka_unit_test(mute_machine_and_takeover),
+                                       cmocka_unit_test(deaf_machine_goes_back),
+                                       cmocka_unit_test(deaf_machine_and_takeover),
                                        cmocka_unit_test(ghost_is_no_machine),
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(takeover_keeps_gangs),
@@ -712,9 +717,6 @@
                                        cmocka_unit_test(large_fleet_mass_loss),
                                        cmocka_unit_test(broken_worlds_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
-    if (argc > 1)
-        cmocka_set_test_filter(argv[1]);
-    if (getenv("RP_SKIP"))
-        cmocka_set_skip_filter(getenv("RP_SKIP"));
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -160,7 +160,7 @@
                                         .crash_s = 40,
                                         .hang_s = 20,
                                         .death_s = 40,
-                                        .mute_s = 40,
+                                        .deaf_s = 40,
                                         .end_s = 15,
                                         .take_s = 30};
     (void)state;
@@ -174,9 +174,9 @@
                                         .copies = 0.03,
                                         .crash_s = 40,
                                         .outage_s = 90,
-                                        .deaf_s = 60,
+                                        .refused_s = 60,
                                         .alone_s = 60,
-                                        .mute_s = 50,
+                                        .deaf_s = 50,
                                         .blink_s = 15,
                                         .hang_s = 25,
                                         .death_s = 50,
@@ -550,7 +550,6 @@
                                        cmocka_unit_test(broken_rolls_are_caught)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     load_old(getenv("RP_OLD_NODE"));
-    if (argc > 1)
-        cmocka_set_test_filter(argv[1]);
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -273,7 +273,7 @@
     assert_false(rp_key_part_read(RP_KEY_PART "j-1", job, &part));
 }
 
-int main(void) {
+int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(submissions),
                                        cmocka_unit_test(bad_submissions),
                                        cmocka_unit_test(reports),
@@ -282,5 +282,6 @@
                                        cmocka_unit_test(mutated_messages),
                                        cmocka_unit_test(records_of_production),
                                        cmocka_unit_test(records_of_today)};
+    choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
