--- /dev/null
+++ b/src/blame.c
@@ -0,0 +1,111 @@
+#include "blame.h"
+
+#include <math.h>
+#include <string.h>
+#include "log.h"
+
+#define JOB_SUSPECT 2 /* machines on which a job failed, with no success anywhere */
+#define SUSPICION_S                                                                                \
+    20.0 /* a machine gets nothing meanwhile: the job may yet show whose fault it is */
+#define PAUSE_S 0.5
+#define PAUSE_MAX_S 30.0
+
+/* Its tasks can end well, or run: what fails of it is the machine's fault. */
+static bool works(const struct rp_job *job) {
+    return job->n_done > 0 || (job->spec.kind == RP_SERVICE && job->n_running > 0);
+}
+
+bool rp_blame_job_suspect(const struct rp_job *job) {
+    return job->n_error_on >= JOB_SUSPECT && !works(job);
+}
+
+bool rp_blame_note(struct rp_job *job, const struct rp_machine *m) {
+    for (unsigned i = 0; i < job->n_error_on; i++)
+        if (strcmp(job->error_on[i], m->name) == 0)
+            return false;
+    if (job->n_error_on < RP_JOB_ERRORS_KEPT)
+        strcpy(job->error_on[job->n_error_on++], m->name);
+    return true;
+}
+
+static void forgive(struct rp_machine *m) {
+    m->errors_row = m->n_witnesses = 0;
+    m->witness = 0;
+    m->suspect = false;
+}
+
+static void condemn(struct rp_picture *p, struct rp_machine *m, const struct rp_job *job) {
+    if (m->faulty)
+        return;
+    rp_info("machine %s is faulty: errors=%u, last job=%s", m->name, m->errors_row, job->spec.id);
+    m->faulty = true;
+    for (struct rp_job *j = p->jobs->first; j; j = j->next)
+        for (unsigned i = 0; i < j->n_error_on; i++)
+            if (strcmp(j->error_on[i], m->name) == 0) {
+                j->n_error_on--;
+                if (i != j->n_error_on)
+                    strcpy(j->error_on[i], j->error_on[j->n_error_on]);
+                break;
+            }
+}
+
+/* One job's errors are no proof: jobs with a mistake had every third good machine they met given
+ * back, with its images (incident 4d52). Two jobs' are, or one's whose tasks end well elsewhere. */
+void rp_blame_machine(struct rp_picture *p, const struct rp_job *job, struct rp_machine *m,
+                      struct timespec now) {
+    m->errors_row++;
+    if (m->witness != rp_text_hash(job->spec.id)) {
+        m->witness = rp_text_hash(job->spec.id);
+        m->n_witnesses++;
+    }
+    if (m->errors_row < p->settings->tuning.faulty_after)
+        return;
+    if (works(job) || m->n_witnesses >= 2) {
+        condemn(p, m, job);
+    } else {
+        m->suspect = true;
+        m->suspect_until = rp_ts_after(now, SUSPICION_S);
+    }
+}
+
+/* The job fails everywhere: what it did to the machines' names is undone. */
+static void clear_machines(struct rp_picture *p, const struct rp_job *job) {
+    for (unsigned i = 0; i < job->n_error_on; i++) {
+        struct rp_machine *m = rp_machine_find(p, job->error_on[i]);
+        if (m && m->n_witnesses <= 1 && m->witness == rp_text_hash(job->spec.id))
+            forgive(m);
+    }
+}
+
+void rp_blame_error(struct rp_picture *p, struct rp_job *job, struct rp_machine *m,
+                    struct timespec now) {
+    (void)rp_blame_note(job, m);
+    if (!rp_blame_job_suspect(job)) {
+        job->held_until = rp_ts_after(now, PAUSE_S);
+        rp_blame_machine(p, job, m, now);
+        return;
+    }
+    clear_machines(p, job);
+    /* Errors of tasks that were started together count once. */
+    if (rp_ts_reached(now, job->held_until))
+        job->pauses++;
+    double pause = fmin(ldexp(PAUSE_S, (int)fmin(job->pauses, 8)), PAUSE_MAX_S);
+    job->held_until = rp_ts_after(now, pause);
+}
+
+void rp_blame_success(struct rp_picture *p, struct rp_job *job, struct rp_machine *m) {
+    forgive(m);
+    job->pauses = 0;
+    if (job->n_done != 1)
+        return;
+    for (unsigned i = job->n_error_on; i-- > 0;) {
+        struct rp_machine *other = rp_machine_find(p, job->error_on[i]);
+        if (other && other->errors_row >= p->settings->tuning.faulty_after)
+            condemn(p, other, job);
+    }
+}
+
+void rp_blame_step(struct rp_machine *m, struct timespec now) {
+    if (m->suspect && rp_ts_reached(now, m->suspect_until))
+        m->suspect = false;
+}
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include "blame.h"
 #include "log.h"
 #include "wire.h"
 #include "workers.h"
@@ -798,6 +799,7 @@
                           struct timespec now) {
     double led = rp_ts_since(now, f->led_since);
     double boot = m->type >= 0 ? f->catalog->types[m->type].boot_s : 60;
+    rp_blame_step(m, now);
     switch (m->state) {
     case RP_MACHINE_UNKNOWN:
     case RP_MACHINE_UP:
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -67,6 +67,7 @@
     /* Errors: a job that fails on several machines is itself at fault. */
     char error_on[RP_JOB_ERRORS_KEPT][RP_TEXT_MAX];
     unsigned n_error_on;
+    unsigned pauses; /* it failed wherever it was started: so many pauses in a row */
     struct timespec held_until;
     /* A job's tasks run about equally long, whatever its owner guessed. */
     double run_sum_s;
--- a/src/picture.c
+++ b/src/picture.c
@@ -230,8 +230,8 @@
 
 bool rp_machine_usable(const struct rp_machine *m) {
     return m->state == RP_MACHINE_UP && m->recorded && m->up_recorded && m->token_seen &&
-           !m->noticed && !m->faulty && !rp_machine_deaf(m) && m->n_foreign == 0 && m->type >= 0 &&
-           m->zone >= 0;
+           !m->noticed && !m->faulty && !m->suspect && !rp_machine_deaf(m) && m->n_foreign == 0 &&
+           m->type >= 0 && m->zone >= 0;
 }
 
 bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
--- a/src/picture.h
+++ b/src/picture.h
@@ -94,7 +94,11 @@
     size_t n_foreign;
     struct rp_image *images;
     size_t n_images, cap_images;
-    unsigned errors_row; /* errors since the last task that ended well */
+    unsigned errors_row;  /* errors since the last task that ended well */
+    unsigned n_witnesses; /* jobs that they were of */
+    uint64_t witness;     /* the last of them */
+    bool suspect;         /* the machine or that job */
+    struct timespec suspect_until;
     bool faulty;
     bool emptied;             /* its work moves elsewhere, then it goes back */
     char reserved[RP_ID_MAX]; /* room is kept here for this job, "" for none */
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -3,9 +3,11 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include "blame.h"
 #include "log.h"
 #include "room.h"
 
+#define SUSPECT_TASKS 2 /* of a job that has failed wherever it was started, at a time */
 #define NO_LIMIT 1e15
 #define NEW_MAX 60
 #define OVERRUN 0.3       /* expected rest of a task, as a share of what it has run */
@@ -173,7 +175,7 @@
         return false;
     if (m->state == RP_MACHINE_BOOTING)
         return rp_ts_since(now, m->rented) < rp_round_catalog(r)->types[m->type].boot_s * OVERDUE;
-    return m->state == RP_MACHINE_UP && !m->faulty && !m->noticed && !m->emptied &&
+    return m->state == RP_MACHINE_UP && !m->faulty && !m->suspect && !m->noticed && !m->emptied &&
            !rp_machine_deaf(m);
 }
 
@@ -247,7 +249,10 @@
     if (job->spec.kind == RP_GANG)
         return job->n_counted == 0 && job->n_done == 0 ? job->spec.n_tasks : 0;
     uint32_t taken = job->n_done + job->n_counted;
-    return taken < job->spec.n_tasks ? job->spec.n_tasks - taken : 0;
+    uint32_t left = taken < job->spec.n_tasks ? job->spec.n_tasks - taken : 0;
+    /* What fails wherever it is started costs little until its user calls it off. */
+    uint32_t most = job->n_counted < SUSPECT_TASKS ? SUSPECT_TASKS - job->n_counted : 0;
+    return rp_blame_job_suspect(job) && left > most ? most : left;
 }
 
 static void allowed_types(const struct rp_round *r, const struct rp_job_spec *spec,
--- a/src/workers.c
+++ b/src/workers.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include "blame.h"
 #include "log.h"
 #include "wire.h"
 
@@ -85,48 +86,6 @@
         rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
 }
 
-/* Whether it is the first error of the job there. */
-static bool blame_once(struct rp_job *job, const struct rp_machine *m) {
-    for (unsigned i = 0; i < job->n_error_on; i++)
-        if (strcmp(job->error_on[i], m->name) == 0)
-            return false;
-    if (job->n_error_on < RP_JOB_ERRORS_KEPT)
-        strcpy(job->error_on[job->n_error_on++], m->name);
-    return true;
-}
-
-static void blame_machine(struct rp_workers *w, struct rp_machine *m, const struct rp_job *job);
-
-static void blame(struct rp_workers *w, struct rp_machine *m, struct rp_job *job) {
-    struct timespec now = rp_loop_now(w->loop);
-    (void)blame_once(job, m);
-    /* A job that fails on several machines is at fault itself: it is tried ever more rarely, and
-     * the machines are not blamed for it. */
-    if (job->n_error_on >= RP_JOB_ERRORS_KEPT) {
-        job->held_until = rp_ts_after(now, 30);
-        return;
-    }
-    job->held_until = rp_ts_after(now, 0.5);
-    blame_machine(w, m, job);
-}
-
-static void blame_machine(struct rp_workers *w, struct rp_machine *m, const struct rp_job *job) {
-    m->errors_row++;
-    if (m->errors_row >= w->settings->tuning.faulty_after && !m->faulty) {
-        rp_info("machine %s is faulty: errors=%u, last job=%s", m->name, m->errors_row,
-                job->spec.id);
-        m->faulty = true;
-        for (struct rp_job *j = w->jobs->first; j; j = j->next)
-            for (unsigned i = 0; i < j->n_error_on; i++)
-                if (strcmp(j->error_on[i], m->name) == 0) {
-                    j->n_error_on--;
-                    if (i != j->n_error_on)
-                        strcpy(j->error_on[i], j->error_on[j->n_error_on]);
-                    break;
-                }
-    }
-}
-
 /* A replica that ended by itself runs again elsewhere at once. One that ended soon after its start
  * speaks against the machine first; once replicas of the job have ended so on several machines it
  * is the job's own fault, and the pauses grow, so that a bad image costs little. */
@@ -142,10 +101,10 @@
     }
     unsigned before = job->n_error_on;
     bool held = !rp_ts_reached(now, job->held_until);
-    if (!blame_once(job, m) && held)
+    if (!rp_blame_note(job, m) && held)
         return;
-    if (job->n_error_on < RP_JOB_ERRORS_KEPT && place->why == RP_EXIT_ERROR)
-        blame_machine(w, m, job);
+    if (!rp_blame_job_suspect(job) && place->why == RP_EXIT_ERROR)
+        rp_blame_machine(w->picture, job, m, now);
     job->ends_row++;
     double pause = before == 0 ? 0 : ldexp(REPLICA_PAUSE_S, (int)fmin(job->ends_row, 8) - 2);
     job->held_until = rp_ts_after(now, fmin(pause, REPLICA_PAUSE_MAX_S));
@@ -165,10 +124,11 @@
         if (ran)
             rp_jobs_observe(w->jobs, job, rp_ts_since(now, place->running));
         rp_jobs_task_done(w->jobs, job, place->task);
+        rp_blame_success(w->picture, job, m);
         break;
     case RP_EXIT_ERROR:
         if (job->spec.kind != RP_SERVICE)
-            blame(w, m, job);
+            rp_blame_error(w->picture, job, m, now);
         break;
     case RP_EXIT_NO_ROOM:
     case RP_EXIT_BUSY:
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -659,6 +659,9 @@
         if (gang && s->now > t->began + GANG_PEER_S &&
             gang_members(s, t, false) < (int)job->spec.n_tasks) {
             task_exit(w, t, "peers", s->now);
+        } else if (w->bad && s->now > t->began + 0.5) {
+            s->n_errors++;
+            task_exit(w, t, "error", s->now);
         } else if (job->spec.kind == RP_SERVICE) {
             if (sim_chance(s, s->faults.end_s > 0 ? SIM_STEP_S / s->faults.end_s : 0) ||
                 job->faulty)
@@ -666,6 +669,7 @@
         } else if (job->done[t->index] ||
                    s->now > t->began + job->spec.estimate_s + t->index * job->stagger_s) {
             if (job->faulty || (!job->done[t->index] && sim_chance(s, s->faults.task_error))) {
+                s->n_errors++;
                 task_exit(w, t, "error", s->now);
                 break;
             }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -97,6 +97,7 @@
     char name[RP_TEXT_MAX];
     int type, zone;
     bool spot;
+    bool bad; /* fails whatever starts on it */
     double rented, boots, hung_until;
     double deaf_until; /* its reports arrive, answers and direct commands don't */
     double mute_until; /* it reaches no node, direct commands reach it */
@@ -196,7 +197,7 @@
     struct sim_event *events[SIM_EVENTS];
     int n_events;
     char broken[256]; /* the first rule that broke, "" for none */
-    unsigned long n_starts, n_done_jobs;
+    unsigned long n_starts, n_done_jobs, n_errors;
     /* Counted, so that tests can tell that a trouble came about. */
     unsigned long n_late_writes, n_lost_answers, n_kept, n_kept_delivered, n_leaders, n_looks;
     unsigned long n_odd, n_odd_answered, n_cancelled_at_end, n_direct_to_mute;
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -445,6 +445,64 @@
     sim_free(s);
 }
 
+/* Incident 4d52: jobs that fail wherever they are started had every third good machine that they
+ * met given back, with its images; and all their tasks were started again and again. */
+static void bad_jobs_condemn_no_machine(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(18, &none, SIM_SOUND, 3);
+    (void)state;
+    for (int i = 0; i < s->n_nodes; i++)
+        s->settings[i].teams[0].cpus_max = 1e6;
+    for (int i = 0; i < 12; i++)
+        sim_submit(s, 1 + i * 6, "sweep", 40, 2, 12, 0);
+    for (int i = 0; i < 5; i++) {
+        int bad = sim_submit(s, 20 + i * 5, "sweep", 40, 1, 1, 100);
+        s->jobs[bad].faulty = true;
+    }
+    for (int i = 0; i < 800; i++) {
+        sim_run(s, 0.1);
+        for (int k = 0; sim_leader(s) >= 0 && k < s->size.workers; k++) {
+            const struct rp_machine *m =
+                rp_machine_find(&s->nodes[sim_leader(s)].node->picture, s->workers[k].name);
+            assert_true(!m || !m->faulty);
+        }
+    }
+    assert_true(s->n_errors >= 20);
+    assert_true(s->n_errors <= 5 * 40 + 5 * 30); /* all once, then a few at a time */
+    sim_run(s, 150);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
+/* A machine that fails everything has room all the time, and draws work: it is found, also when
+ * there are jobs about that fail everywhere. */
+static void bad_machines_are_found(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(19, &none, SIM_SOUND, 3);
+    int bad = 0, left = 0;
+    (void)state;
+    for (int i = 0; i < 12; i++)
+        sim_submit(s, 1 + i * 4, "sweep", 20, 1, 8, 0);
+    int job = sim_submit(s, 15, "sweep", 10, 1, 1, 60);
+    s->jobs[job].faulty = true;
+    sim_run(s, 20);
+    for (int i = 0; i < s->size.workers && bad < 2; i++)
+        if (s->workers[i].used && s->workers[i].up && s->workers[i].n_tasks > 0) {
+            s->workers[i].bad = true;
+            bad++;
+        }
+    assert_int_equal(bad, 2);
+    sim_run(s, 40);
+    for (int i = 0; i < s->size.workers; i++)
+        left += s->workers[i].used && s->workers[i].bad;
+    assert_int_equal(left, 0);
+    assert_true(s->n_errors <= 120);
+    sim_run(s, 200);
+    assert_string_equal(s->broken, "");
+    assert_true(sim_all_over(s));
+    sim_free(s);
+}
+
 /* A cut that held packets back delivered reports of sessions that had ended: their tasks, which ran
  * elsewhere by then, were taken to be on the old machines as well. */
 static void held_reports_bring_nothing_back(void **state) {
@@ -709,6 +767,8 @@
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
                                        cmocka_unit_test(kept_machines_stay),
                                        cmocka_unit_test(whole_machine_task_begins_on_a_full_fleet),
+                                       cmocka_unit_test(bad_jobs_condemn_no_machine),
+                                       cmocka_unit_test(bad_machines_are_found),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
                                        cmocka_unit_test(cut_zone_keeps_its_machines),
                                        cmocka_unit_test(large_fleet_is_used),
