Workers find the next leader sooner when the leader stands still or hears no report

Cause: followers named a leader that stood still until its key was gone, and workers waited there once more; a leader that no report reached gave way after 7 to 9 s. Test: frozen_leader_is_not_named.

--- a/src/election.c
+++ b/src/election.c
@@ -43,12 +43,19 @@
 /* A node that is cut from the state service knows of a leader that may be long gone: workers must
  * not be sent round in circles on such knowledge. */
 const char *rp_election_leader(const struct rp_election *e, struct timespec now) {
-    if (e->at == RP_HOLDING || !e->leader[0] || strcmp(e->leader, e->node) == 0 ||
+    if (e->at == RP_HOLDING || !e->leader[0] || e->leader_silent ||
+        strcmp(e->leader, e->node) == 0 ||
         rp_ts_since(now, e->looked_at) > e->ttl_s + STALE_SLACK_S)
         return NULL;
     return e->leader;
 }
 
+/* A leader that stands still keeps the key until its lease ends: workers that were sent back to it
+ * waited there once more, and many lost their lease before they found the next one. */
+void rp_election_note_answer(struct rp_election *e, bool answered) {
+    e->leader_silent = !answered;
+}
+
 void rp_election_guard(const struct rp_election *e, json_t *txn) {
     rp_wire_txn_if(txn, RP_KEY_LEADER, e->token);
 }
@@ -143,6 +150,8 @@
             claim(e, item.version);
             return;
         }
+        if (!node || strcmp(node, e->leader) != 0)
+            e->leader_silent = false; /* another one */
         snprintf(e->leader, sizeof e->leader, "%s", node ? node : "");
     }
     rp_timer_set(e->loop, &e->timer, r->outcome == RP_STATE_OK ? e->check_s : RETRY_S);
--- a/src/election.h
+++ b/src/election.h
@@ -27,6 +27,7 @@
     struct timespec asked;       /* when the claim's lease was asked for */
     char leader[64];             /* who held the key when we last looked, "" for nobody */
     struct timespec looked_at;   /* when that was */
+    bool leader_silent;          /* it doesn't answer this node */
     struct rp_timer timer;
     rp_election_fn on_elected, on_lost;
     void *arg;
@@ -41,6 +42,8 @@
 bool rp_election_valid(const struct rp_election *e, struct timespec now);
 /* The other node that leads, as far as is known now; NULL when nothing is. */
 const char *rp_election_leader(const struct rp_election *e, struct timespec now);
+/* Whether that node answered when it was asked something. */
+void rp_election_note_answer(struct rp_election *e, bool answered);
 /* Until when a lease may be trusted that was asked for, or touched, at `sent`. */
 struct timespec rp_election_trust(struct timespec sent, double ttl_s);
 /* The condition that makes a leader's late transactions die. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -34,6 +34,9 @@
 #define DOUBTFUL_SHARE 0.3 /* so many at once: the fault may be ours, and none goes back for it */
 #define ISOLATED_S 2.0     /* for so long: this node is cut off rather than they */
 #define ISOLATED_PROVEN_S 10.0
+#define MUTE_S 1.5      /* without any report */
+#define MUTE_REPORTS 20 /* that were due meanwhile */
+#define MUTE_TICKS 2
 #define STAND_BACK_S 12.0
 
 struct request {
@@ -726,17 +729,29 @@
  * nothing for anybody. When most machines fall silent together while leadership was provable all
  * along, it gives the key up: another node may be better placed. It also returns no machine then:
  * they are hardly all gone. */
+static void note_newest(struct rp_fleet *f, size_t known, struct timespec newest,
+                        struct timespec now) {
+    double due = fmax(MUTE_S, MUTE_REPORTS * f->settings->report_s / (double)(known + 1));
+    /* Counted in ticks as well: a node that stood still hasn't read what came meanwhile. */
+    bool mute = known >= 4 && rp_ts_since(now, newest) > due;
+    f->mute_ticks = mute ? f->mute_ticks + 1 : 0;
+}
+
 static bool isolated(struct rp_fleet *f, struct timespec now) {
     size_t known = 0, quiet = 0;
     double limit = f->settings->report_s * 1.25 + 2.5;
+    struct timespec newest = {0};
     for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
         if (m->session == 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
             continue;
         known++;
+        if (rp_ts_cmp(m->last_report, newest) > 0)
+            newest = m->last_report;
         quiet += deaf_for(m, now) > DEAF_SURE_S || rp_ts_since(now, m->last_report) > limit;
     }
     bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
     bool many = known >= 4 && (double)quiet >= DOUBTFUL_SHARE * (double)known;
+    note_newest(f, known, newest, now);
     /* A node cut off from everything can't give the key up either: its lease does that. */
     if (!most || rp_state_failing_s(f->state) > 0 ||
         rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
@@ -746,6 +761,15 @@
     return many;
 }
 
+/* Most machines have been silent for a while, or no report has come at all where twenty were due.
+ */
+static bool gives_way(const struct rp_fleet *f, struct timespec now) {
+    if (rp_state_failing_s(f->state) > 0 || rp_ts_since(now, f->proven_since) < ISOLATED_PROVEN_S)
+        return false;
+    return f->mute_ticks >= MUTE_TICKS ||
+           (!rp_ts_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S);
+}
+
 /* A zone that is cut off comes back with its machines, their images and, after the lease, nothing
  * on them: giving them back and renting anew costs a boot and all fetches, and in the meantime new
  * ones there could not report either. */
@@ -859,7 +883,7 @@
     bool cut_off = isolated(f, now);
     note_zones(f, now);
     note_many_lost(f, now);
-    if (!rp_ts_zero(f->isolated_since) && rp_ts_since(now, f->isolated_since) > ISOLATED_S) {
+    if (gives_way(f, now)) {
         rp_info("most machines are silent: another node may reach them");
         rp_election_resign(f->election, STAND_BACK_S);
         return;
@@ -963,6 +987,7 @@
     f->many_lost_seen = (struct timespec){0};
     memset(f->zone_out_seen, 0, sizeof f->zone_out_seen);
     f->proven_since = f->isolated_since = (struct timespec){0};
+    f->mute_ticks = 0;
     memset(f->refusals, 0, sizeof f->refusals);
     rp_timer_cancel(f->loop, &f->timer);
     for (struct rp_machine *m = f->picture->first; m; m = m->next)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -56,6 +56,7 @@
     struct timespec led_since;
     struct timespec proven_since;   /* leadership was provable ever since; zero: it isn't now */
     struct timespec isolated_since; /* most machines fell silent together; zero: they didn't */
+    unsigned mute_ticks;            /* in a row without any report, though many were due */
     uint32_t zones_out;             /* bit set: most machines of the zone are silent */
     struct timespec zone_out_seen[RP_ZONES_MAX]; /* when they last were; zero: never */
     struct timespec many_lost_seen; /* when a good part of the machines was lost; zero: never */
--- a/src/node.c
+++ b/src/node.c
@@ -295,6 +295,7 @@
     json_t *jobs = json_object_get(v, "jobs");
     const char *id;
     json_t *counts;
+    rp_election_note_answer(&n->election, answer->status != 0);
     if (!json_is_object(jobs))
         goto out;
     free(n->summary);
--- a/src/workers.c
+++ b/src/workers.c
@@ -17,6 +17,8 @@
 #define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
+#define SEEK_S 3.0 /* a report waits so long for a leader to be known */
+#define SEEK_STEP_S 0.1
 #define PROBE_S 0.7  /* for the answer to a question */
 #define DIRECT_S 1.0 /* for the answer to a direct command */
 #define DIRECT_KEPT                                                                                \
@@ -26,6 +28,8 @@
 #define REPLICA_PAUSE_S 0.5
 #define REPLICA_PAUSE_MAX_S 30.0
 
+static void seek_due(void *arg);
+
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
                      const struct rp_settings *settings, struct rp_metrics *metrics,
@@ -39,6 +43,7 @@
     w->jobs = jobs;
     w->fleet = fleet;
     w->settings = settings;
+    w->seek_timer = (struct rp_timer){.fn = seek_due, .arg = w};
 }
 
 double rp_workers_lease_s(const struct rp_settings *settings) {
@@ -56,6 +61,67 @@
     respond(req, 421, rp_wire_not_here(leader));
 }
 
+/* ---- reports that come while nobody is known to lead ---- */
+
+/* A report that waits here for a leader. The connection may go meanwhile, and its buffer with it.
+ */
+struct rp_seeker {
+    struct rp_request *req;
+    struct timespec until;
+    char *body;
+    size_t len;
+    struct rp_seeker *next;
+};
+
+/* Sent away without a name, a worker tries node after node, a second each and four at one that
+ * stands still, and may find the next leader only when its lease is over. It waits a little
+ * instead, where the news of a leader will come. */
+static bool may_come_soon(const struct rp_workers *w, struct timespec now) {
+    const struct rp_election *e = w->election;
+    bool coming = e->at == RP_HOLDING ? rp_election_valid(e, now) : !rp_election_leader(e, now);
+    return !w->ready && coming && rp_state_failing_s(e->state) <= 0;
+}
+
+static void seek(struct rp_workers *w, struct rp_request *req) {
+    struct rp_seeker *s = calloc(1, sizeof *s);
+    if (!s || !(s->body = malloc(req->len + 1)))
+        abort(); /* out of memory: a restart is the honest answer */
+    memcpy(s->body, req->body, req->len);
+    s->req = req;
+    s->len = req->len;
+    s->until = rp_ts_after(rp_loop_now(w->loop), SEEK_S);
+    s->next = w->seekers;
+    w->seekers = s;
+    if (!w->seek_timer.place)
+        rp_timer_set(w->loop, &w->seek_timer, SEEK_STEP_S);
+}
+
+static void seek_due(void *arg) {
+    struct rp_workers *w = arg;
+    struct timespec now = rp_loop_now(w->loop);
+    bool wait = may_come_soon(w, now);
+    struct rp_seeker *list = w->seekers, *s;
+    w->seekers = NULL;
+    while ((s = list)) {
+        list = s->next;
+        if (wait && !rp_ts_reached(now, s->until)) {
+            s->next = w->seekers;
+            w->seekers = s;
+            continue;
+        }
+        s->req->body = s->body;
+        s->req->len = s->len;
+        if (w->ready)
+            rp_workers_report(w, s->req);
+        else
+            not_here(w, s->req);
+        free(s->body);
+        free(s);
+    }
+    if (w->seekers)
+        rp_timer_set(w->loop, &w->seek_timer, SEEK_STEP_S);
+}
+
 /* Every answer renews a lease, and so lets what runs there run on: only a leader whose lease is
  * provable may give one, and only while it hears what users cancel. */
 static bool may_answer(const struct rp_workers *w, struct timespec now) {
@@ -120,7 +186,6 @@
         replica_ended(w, m, place);
     switch (place->why) {
     case RP_EXIT_DONE:
-        m->errors_row = 0;
         if (ran)
             rp_jobs_observe(w->jobs, job, rp_ts_since(now, place->running));
         rp_jobs_task_done(w->jobs, job, place->task);
@@ -741,11 +806,22 @@
     free(w->held);
     w->held = NULL;
     w->n_held = w->cap_held = 0;
+    rp_timer_cancel(w->loop, &w->seek_timer);
+    while (w->seekers) {
+        struct rp_seeker *s = w->seekers;
+        w->seekers = s->next;
+        free(s->body);
+        free(s);
+    }
 }
 
 void rp_workers_report(struct rp_workers *w, struct rp_request *req) {
     struct rp_report report;
     w->n_reports++;
+    if (may_come_soon(w, rp_loop_now(w->loop))) {
+        seek(w, req);
+        return;
+    }
     if (!w->ready || !may_answer(w, rp_loop_now(w->loop))) {
         not_here(w, req);
         return;
--- a/src/workers.h
+++ b/src/workers.h
@@ -30,6 +30,8 @@
     void *arg;
     struct rp_held_report *held;
     size_t n_held, cap_held;
+    struct rp_seeker *seekers; /* reports that wait until it is known who leads */
+    struct rp_timer seek_timer;
     unsigned long n_reports, n_stale, n_starts;
     unsigned long n_over_bounds; /* tasks of unknown jobs beyond RP_FOREIGN_KEPT on a machine */
 };
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -326,6 +326,34 @@
     sim_free(s);
 }
 
+/* A leader that stands still keeps its key until the lease ends: the others went on naming it, and
+ * workers that were sent back to it lost their leases before they found the next one. */
+static void frozen_leader_is_not_named(void **state) {
+    static const struct sim_faults none = {0};
+    int kept = 0, all = 0;
+    (void)state;
+    for (unsigned long seed = 20; seed < 26; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 5);
+        for (int i = 0; i < s->n_nodes; i++)
+            s->settings[i].teams[0].cpus_max = 1e6;
+        for (int i = 0; i < 12; i++)
+            sim_submit(s, 1, "sweep", 40, 1, 120, 0);
+        sim_run(s, 40);
+        int leader = sim_leader(s);
+        s->nodes[leader].stalled_until = s->now + 25;
+        sim_run(s, 24);
+        assert_true(sim_leader(s) >= 0);
+        for (int i = 0; i < s->size.workers; i++)
+            if (s->workers[i].used && s->workers[i].up) {
+                all++;
+                kept += s->workers[i].session == 1;
+            }
+        assert_string_equal(s->broken, "");
+        sim_free(s);
+    }
+    assert_true(all >= 60 && kept >= all - all / 10);
+}
+
 /* Every takeover stopped every gang of several tasks, since not all of them had been heard of yet.
  */
 static void takeover_keeps_gangs(void **state) {
@@ -762,6 +790,7 @@
                                        cmocka_unit_test(deaf_machine_and_takeover),
                                        cmocka_unit_test(ghost_is_no_machine),
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
+                                       cmocka_unit_test(frozen_leader_is_not_named),
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(takeover_keeps_images),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
