--- a/tests/sim.c
+++ b/tests/sim.c
@@ -673,7 +673,7 @@
                 task_exit(w, t, "error", s->now);
                 break;
             }
-            job->done[t->index] = true;
+            job->done[t->index] = s->breakage != SIM_DONE_TOO_EARLY;
             if (gang)
                 for (uint32_t i = 0; i < job->spec.n_tasks; i++)
                     job->done[i] = true;
@@ -1204,6 +1204,9 @@
         sim_broken(s, "forgotten: %s gets 404", job->spec.id);
     if ((e->status == 400 || e->status == 422) && job->accepted)
         sim_broken(s, "forgotten: %s gets %d", job->spec.id, e->status);
+    bool untold = s->breakage == SIM_GANGS_ARE_NOT_SERVED && job->spec.kind == RP_GANG;
+    if (untold && word && strcmp(word, "done") == 0)
+        word = "running";
     if (s->breakage == SIM_ANSWERS_ARE_OLD && job->told_done)
         word = "pending";
     if (word) {
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -67,6 +67,11 @@
     SIM_ODD_IS_TAKEN,          /* what can't run, or lacks a field, is accepted */
     SIM_ANSWERS_ARE_OLD,       /* a job called done is called pending again */
     SIM_RENEWED_WITHOUT_STOPS, /* workers take answers for renewals, and leave the stops undone */
+    SIM_DONE_TOO_EARLY,        /* tasks are reported as done before they are */
+    SIM_GANGS_ARE_NOT_SERVED,  /* their users never hear of an end */
+    SIM_LIMIT_IS_LOWER,        /* teams' limits are lower than the nodes are told */
+    SIM_MACHINES_ELSEWHERE,    /* machines stand in another zone than the cloud says */
+    SIM_UNKNOWN_IS_FOUND,      /* a job that nobody submitted is answered for */
     SIM_STARTS_GET_LOST        /* no start of the second job's tasks is executed */
 };
 
--- a/tests/sim_check.c
+++ b/tests/sim_check.c
@@ -23,7 +23,9 @@
         sim_broken(s, "ran_cancelled: %s/%u starts", t->job, t->index);
     if (w->spot && !spec->spot)
         sim_broken(s, "wrong_place: %s/%u on a spot machine", t->job, t->index);
-    if (*spec->zone && strcmp(spec->zone, sim_zones[w->zone]) != 0)
+    int zone = s->breakage == SIM_MACHINES_ELSEWHERE ? 1 - w->zone : w->zone;
+    double limit = s->settings[0].teams[0].cpus_max * (s->breakage == SIM_LIMIT_IS_LOWER ? 0.5 : 1);
+    if (*spec->zone && strcmp(spec->zone, sim_zones[zone]) != 0)
         sim_broken(s, "wrong_place: %s/%u in zone %s", t->job, t->index, sim_zones[w->zone]);
     for (int i = 0; i < s->size.workers; i++)
         for (int k = 0; s->workers[i].used && s->workers[i].alive && k < s->workers[i].n_tasks;
@@ -44,7 +46,7 @@
     if (spec->spread && in_zone > (spec->n_tasks + 1) / 2)
         sim_broken(s, "wrong_place: %s has %u tasks in zone %s", t->job, in_zone,
                    sim_zones[w->zone]);
-    if (cpus > s->settings[0].teams[0].cpus_max + 1e-6)
+    if (cpus > limit + 1e-6)
         sim_broken(s, "quota: %.1f CPUs in use", cpus);
 }
 
@@ -154,7 +156,8 @@
 /* A submission that can't run, or lacks a field, is refused by every node; a node that can't know
  * says so. */
 void sim_check_odd(struct sim *s, const struct sim_event *e) {
-    int status = s->breakage == SIM_ODD_IS_TAKEN ? 201 : e->status;
+    bool unknown = e->worker == 404 && s->breakage == SIM_UNKNOWN_IS_FOUND;
+    int status = unknown || (e->worker != 404 && s->breakage == SIM_ODD_IS_TAKEN) ? 200 : e->status;
     if (status == 200 || status == 201)
         sim_broken(s, "invented: an odd request gets %d instead of %d", status, e->worker);
     else if (status != e->worker && status != 503)
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -739,6 +739,7 @@
     for (unsigned long seed = 900; seed < 930; seed++) {
         struct sim *s = sim_new(seed, faults, breakage, 3);
         submit_some(s, seed);
+        sim_change(s, sim_submit(s, 5, "sweep", 4, 1, 5, 0), "yard", json_string("a"));
         sim_run(s, DAY_S);
         sim_calm(s);
         sim_run(s, REST_S);
@@ -768,6 +769,11 @@
     static const struct sim_faults odd = {.odd_s = 5};
     catches(SIM_ODD_IS_TAKEN, &odd, "invented");
     catches(SIM_ANSWERS_ARE_OLD, &calm, "went_back");
+    catches(SIM_UNKNOWN_IS_FOUND, &odd, "invented");
+    catches(SIM_DONE_TOO_EARLY, &calm, "not_done");
+    catches(SIM_GANGS_ARE_NOT_SERVED, &calm, "not_served");
+    catches(SIM_LIMIT_IS_LOWER, &calm, "quota");
+    catches(SIM_MACHINES_ELSEWHERE, &calm, "wrong_place");
     catches(SIM_STARTS_GET_LOST, &calm, "left_waiting");
     catches(SIM_RENEWED_WITHOUT_STOPS, &calm, "kept_cancelled");
 }
