A leader counts as silent by time-outs only, and no longer than any lease lasts

Found in reading: where nodes refuse one another's connections, every follower took the leader for silent and named it to nobody, and a displaced worker of five nodes could walk past its lease. A refused connection proves nothing, and a key that is still the same node's when any lease would have ended is held by a living one. Test: takeover_while_nodes_refuse_one_another.

--- a/src/election.c
+++ b/src/election.c
@@ -12,6 +12,7 @@
 #define DRIFT 0.002
 #define MARGIN_S 0.15
 #define STALE_SLACK_S 2.0 /* beyond the lease's length, after which a leader seen may be gone */
+#define SILENT_SLACK_S 0.5
 #define RETRY_S 0.25
 #define TOUCH_S 0.5 /* between renewals: what they are apart is lost when an outage begins */
 
@@ -42,9 +43,15 @@
 
 /* A node that is cut from the state service knows of a leader that may be long gone: workers must
  * not be sent round in circles on such knowledge. */
+/* Stands still, or has gone. Where the key is still its own when any lease would have ended, it
+ * lives, and only this node can't reach it. */
+static bool silent(const struct rp_election *e, struct timespec now) {
+    return !rp_ts_zero(e->silent_since) &&
+           rp_ts_since(now, e->silent_since) < e->ttl_s + SILENT_SLACK_S;
+}
+
 const char *rp_election_leader(const struct rp_election *e, struct timespec now) {
-    if (e->at == RP_HOLDING || !e->leader[0] || e->leader_silent ||
-        strcmp(e->leader, e->node) == 0 ||
+    if (e->at == RP_HOLDING || !e->leader[0] || silent(e, now) || strcmp(e->leader, e->node) == 0 ||
         rp_ts_since(now, e->looked_at) > e->ttl_s + STALE_SLACK_S)
         return NULL;
     return e->leader;
@@ -53,7 +60,10 @@
 /* A leader that stands still keeps the key until its lease ends: workers that were sent back to it
  * waited there once more, and many lost their lease before they found the next one. */
 void rp_election_note_answer(struct rp_election *e, bool answered) {
-    e->leader_silent = !answered;
+    if (answered)
+        e->silent_since = (struct timespec){0};
+    else if (rp_ts_zero(e->silent_since))
+        e->silent_since = rp_loop_now(e->loop);
 }
 
 void rp_election_guard(const struct rp_election *e, json_t *txn) {
@@ -151,7 +161,7 @@
             return;
         }
         if (!node || strcmp(node, e->leader) != 0)
-            e->leader_silent = false; /* another one */
+            e->silent_since = (struct timespec){0}; /* another one */
         snprintf(e->leader, sizeof e->leader, "%s", node ? node : "");
     }
     rp_timer_set(e->loop, &e->timer, r->outcome == RP_STATE_OK ? e->check_s : RETRY_S);
--- a/src/election.h
+++ b/src/election.h
@@ -22,12 +22,12 @@
     double ttl_s, check_s;
     enum rp_election_state at;
     uint64_t token, lease, claim_over;
-    struct timespec valid_until; /* on the steady clock, margins taken off */
-    struct timespec stand_back;  /* until then only the others may claim a free key */
-    struct timespec asked;       /* when the claim's lease was asked for */
-    char leader[64];             /* who held the key when we last looked, "" for nobody */
-    struct timespec looked_at;   /* when that was */
-    bool leader_silent;          /* it doesn't answer this node */
+    struct timespec valid_until;  /* on the steady clock, margins taken off */
+    struct timespec stand_back;   /* until then only the others may claim a free key */
+    struct timespec asked;        /* when the claim's lease was asked for */
+    char leader[64];              /* who held the key when we last looked, "" for nobody */
+    struct timespec looked_at;    /* when that was */
+    struct timespec silent_since; /* the leader doesn't answer this node; zero: it does */
     struct rp_timer timer;
     rp_election_fn on_elected, on_lost;
     void *arg;
--- a/src/node.c
+++ b/src/node.c
@@ -7,6 +7,7 @@
 #include "wire.h"
 
 #define SUMMARY_S 2.0
+#define SUMMARY_WAIT_S 1.5
 #define ROUND_SHARE 0.35 /* of the processor time this node has, for rounds that news call for */
 #define ROUND_MOST 0.12  /* of a core: more buys nothing, rounds then only find less to do each */
 #define ROUND_GAP_S 0.1  /* rounds that news call for keep this distance */
@@ -295,7 +296,10 @@
     json_t *jobs = json_object_get(v, "jobs");
     const char *id;
     json_t *counts;
-    rp_election_note_answer(&n->election, answer->status != 0);
+    /* A refused connection, told at once, doesn't prove that the leader is silent. */
+    bool waited = rp_ts_since(rp_loop_now(n->loop), n->summary_asked) > SUMMARY_WAIT_S / 2;
+    if (answer->status != 0 || waited)
+        rp_election_note_answer(&n->election, answer->status != 0);
     if (!json_is_object(jobs))
         goto out;
     free(n->summary);
@@ -317,10 +321,11 @@
 static void summary_due(void *arg) {
     struct rp_node *n = arg;
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
+    n->summary_asked = rp_loop_now(n->loop);
     for (size_t i = 0; n->at == RP_NODE_FOLLOWING && i < n->settings->n_peers; i++)
         if (strcmp(n->settings->peers[i].name, n->election.leader) == 0)
-            n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_SUMMARY, NULL, 1.5,
-                        summary_came, n);
+            n->net.call(n->net.ctx, n->settings->peers[i].addr, "GET", PATH_SUMMARY, NULL,
+                        SUMMARY_WAIT_S, summary_came, n);
 }
 
 /* The others are better placed: users go there, and what they decide there isn't heard here. */
--- a/src/node.h
+++ b/src/node.h
@@ -43,6 +43,7 @@
     struct rp_hints hints;
     struct rp_metrics metrics;
     struct rp_timer catalog_timer, summary_timer, retry_timer;
+    struct timespec summary_asked;
     struct rp_timer room_timer, health_timer;
     struct timespec peer_heard;    /* when another node last answered */
     struct timespec refused_until; /* the state service answers others, but not this node */
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -972,6 +972,12 @@
     return r.status;
 }
 
+/* The node that the request goes to stands still: no answer, and no refusal either. */
+static bool peer_stands_still(const struct sim *s, const struct sim_event *e) {
+    return strncmp(e->addr, "peer", 4) == 0 &&
+           s->now < s->nodes[e->addr[strlen("peer")] - '0'].stalled_until;
+}
+
 static bool to_worker(const struct sim_event *e) {
     return strncmp(e->addr, "vm-", 3) == 0;
 }
@@ -1000,6 +1006,10 @@
     }
     if (watch && e->answered)
         return true;
+    if (!e->answered && peer_stands_still(s, e) && s->now < e->deadline) {
+        e->due = e->deadline;
+        return false;
+    }
     if (!e->answered && strcmp(e->addr, "cloud") != 0 && cut_off(s, e)) {
         e->due = e->deadline + SIM_STEP_S; /* silence: the time-out answers */
         return false;
--- a/tests/test_election.c
+++ b/tests/test_election.c
@@ -81,8 +81,17 @@
     (void)state;
     assert_string_equal(rp_election_leader(&e, rp_ts(55)), "n1");
     assert_null(rp_election_leader(&e, rp_ts(63)));
+    /* One that doesn't answer isn't named, until it must have lost the key and hasn't. */
+    struct rp_loop loop = {.is_virtual = true, .virtual_now = rp_ts(51)};
+    e.loop = &loop;
+    rp_election_note_answer(&e, false);
+    assert_null(rp_election_leader(&e, rp_ts(52)));
+    e.looked_at = rp_ts(61);
+    assert_string_equal(rp_election_leader(&e, rp_ts(61.6)), "n1");
+    rp_election_note_answer(&e, true);
+    assert_string_equal(rp_election_leader(&e, rp_ts(62)), "n1");
     e.at = RP_HOLDING;
-    assert_null(rp_election_leader(&e, rp_ts(51)));
+    assert_null(rp_election_leader(&e, rp_ts(62)));
 }
 
 /* A state service that keeps what it is asked. */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -354,6 +354,35 @@
     assert_true(all >= 60 && kept >= all - all / 10);
 }
 
+/* Nodes that can't connect to one another still know who leads, by the key: a refused connection
+ * says nothing of the leader, and workers are named the next one. */
+static void takeover_while_nodes_refuse_one_another(void **state) {
+    static const struct sim_faults none = {0};
+    int kept = 0, all = 0;
+    (void)state;
+    for (unsigned long seed = 26; seed < 30; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 5);
+        for (int i = 0; i < s->n_nodes; i++)
+            s->settings[i].teams[0].cpus_max = 1e6;
+        for (int i = 0; i < 12; i++)
+            sim_submit(s, 1, "sweep", 40, 1, 120, 0);
+        sim_run(s, 40);
+        s->apart_until = s->now + 60;
+        sim_run(s, 5);
+        sim_crash(s, sim_leader(s), 40);
+        sim_run(s, 24);
+        assert_true(sim_leader(s) >= 0);
+        for (int i = 0; i < s->size.workers; i++)
+            if (s->workers[i].used && s->workers[i].up) {
+                all++;
+                kept += s->workers[i].session == 1;
+            }
+        assert_string_equal(s->broken, "");
+        sim_free(s);
+    }
+    assert_true(all >= 40 && kept >= all - all / 10);
+}
+
 /* Every takeover stopped every gang of several tasks, since not all of them had been heard of yet.
  */
 static void takeover_keeps_gangs(void **state) {
@@ -797,6 +826,7 @@
                                        cmocka_unit_test(ghost_is_no_machine),
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(frozen_leader_is_not_named),
+                                       cmocka_unit_test(takeover_while_nodes_refuse_one_another),
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(takeover_keeps_images),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
