--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1276,7 +1276,8 @@
     if (s->now > job->poll_at) {
         /* Hundreds of users who go on asking about what is over would be all that is measured. */
         bool seldom = over && s->n_jobs > 128;
-        job->poll_at = s->now + (seldom ? 20 : 2) + 3 * sim_uniform(s);
+        double again = (seldom ? 20 : 2) + 3 * sim_uniform(s);
+        job->poll_at = s->now + again * (s->eager_polls ? 0.05 : 1);
         s->n_polls++;
         user_send(s, index, USER_POLLS);
     }
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -196,6 +196,7 @@
     int cut_node;         /* 1 + the node that is cut off with that zone, 0: none */
     int cut_from_workers; /* 1 + the node that no report reaches, 0: none */
     double apart_until;   /* no node can connect to another */
+    bool eager_polls;     /* users ask twenty times as often */
     bool close_looks;     /* users look at all nodes after each change of a job */
     uint64_t last_token;
     json_t *rentals; /* request name -> answer */
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -557,6 +557,36 @@
     assert_true(never >= 8);
 }
 
+/* Users who ask twenty times as often, far beyond what the state service takes: submissions and
+ * cancellations pass all the same, and what is too much is refused at once. */
+static void questions_starve_nothing(void **state) {
+    static const struct sim_faults none = {0};
+    struct sim *s = sim_new(60, &none, SIM_SOUND, 3);
+    int late = 0, cancelled = 0;
+    (void)state;
+    s->eager_polls = true;
+    for (int i = 0; i < 100; i++)
+        sim_submit(s, 1 + i, "sweep", 2, 1, 6, i % 4 ? 0 : 11 + i);
+    sim_run(s, 40);
+    unsigned long polls = s->n_polls, reads = s->n_state_reads;
+    sim_run(s, 60);
+    polls = s->n_polls - polls;
+    reads = s->n_state_reads - reads;
+    assert_true(polls > 60 * 250);         /* asked */
+    assert_true((double)reads < 60 * 200); /* and what the settings allow */
+    sim_run(s, 20);
+    for (int i = 0; i < 100; i++) {
+        late += s->jobs[i].accepted_at > 1 + i + 1.5;
+        cancelled += i % 4 == 0 && (s->jobs[i].told_done || s->jobs[i].told_cancelled);
+    }
+    assert_true(late <= 2);
+    assert_int_equal(cancelled, 25);
+    sim_calm(s);
+    sim_run(s, 60);
+    assert_string_equal(s->broken, "");
+    sim_free(s);
+}
+
 /* A team without a guarantee, with a batch for idle times, a huge array and a swarm of single
  * tasks, among another team's work for more than all machines: its jobs begin within four minutes,
  * half of them at least are served (sim_check.c), and no job waits while there is room. */
@@ -895,6 +925,7 @@
                                        cmocka_unit_test(bad_machines_are_found),
                                        cmocka_unit_test(machines_that_never_come_up),
                                        cmocka_unit_test(guests_are_served),
+                                       cmocka_unit_test(questions_starve_nothing),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
                                        cmocka_unit_test(cut_zone_keeps_its_machines),
                                        cmocka_unit_test(large_fleet_is_used),
