--- a/src/plan.c
+++ b/src/plan.c
@@ -22,6 +22,8 @@
  * again: with the fleet grows the number of jobs that wait, and each is a smaller part of it. */
 #define ESW_SHORT 5.0
 #define ESW_SHORT_FLEET 100.0
+#define RARE_JOBS 10.0 /* a class with fewer unfinished jobs is rare, where another has more */
+#define ESW_RARE 3.0   /* seconds that a rare job is drawn forward for each of the fleet's work */
 #define ESW_WEIGHT 6.0 /* seconds of slack that a second of the whole fleet's work weighs */
 
 static const char *const job_names[] = {"FCFS", "RR",  "LJF", "SJF", "LTJF",
@@ -101,6 +103,8 @@
     struct listing listings[LISTINGS_MAX];
     size_t n_listings;
     bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
+    /* Of the classes of a priority with aims, without GPUs and with: the most unfinished jobs. */
+    uint32_t class_jobs_most[RP_PRODUCTION + 1][2];
     struct pool *pools;
     size_t n_pools;
     struct sorted *sorted;
@@ -286,15 +290,29 @@
     return x->key < y->key ? -1 : x->key > y->key ? 1 : x->item < y->item ? -1 : x->item > y->item;
 }
 
-/* The largest of the first `n` groups in the order that isn't given up. Gangs never are: what a
- * whole gang gains isn't told by its work, and they are few. */
+/* Aims count shares of a class: one job of few is a larger share of its class than one of many.
+ * Returns how much the job's work counts against it, from 0 for the only unfinished job of a class
+ * to 1 for the most numerous class and those with RARE_JOBS and more. */
+static double class_factor(const struct run *r, const struct rp_plan_group *g) {
+    if (g->class_jobs >= r->class_jobs_most[g->priority][on_gpus(g)] || g->class_jobs == 0)
+        return 1;
+    return fmin(1, (g->class_jobs - 1) / RARE_JOBS);
+}
+
+/* Of the first `n` groups in the order, the one that takes most work for its share of its class and
+ * isn't given up. Gangs never are: what a whole gang gains isn't told by its work, and they are
+ * few. */
 static const struct rp_plan_group *largest_kept(const struct run *r, size_t n) {
     const struct rp_plan_group *largest = NULL;
+    double largest_work = 0;
     for (size_t k = 0; k < n; k++) {
         const struct rp_plan_group *g = &r->in->groups[r->sorted[k].item];
-        if (g->kind == RP_ARRAY && !r->given_up[r->sorted[k].item] &&
-            (!largest || group_work(g) > group_work(largest)))
-            largest = g;
+        double work = group_work(g) * class_factor(r, g);
+        if (g->kind != RP_ARRAY || r->given_up[r->sorted[k].item] ||
+            (largest && work <= largest_work))
+            continue;
+        largest = g;
+        largest_work = work;
     }
     return largest;
 }
@@ -349,6 +367,23 @@
                                                                                    : 1);
 }
 
+static void count_classes(struct run *r) {
+    for (size_t i = 0; i < r->in->n_groups; i++) {
+        const struct rp_plan_group *g = &r->in->groups[i];
+        uint32_t *most = &r->class_jobs_most[g->priority][on_gpus(g)];
+        if (g->slack_s < RP_NO_AIM_S && g->class_jobs > *most)
+            *most = g->class_jobs;
+    }
+}
+
+/* The only job of a class isn't kept behind all smaller ones: on the contrary, its work has to be
+ * begun earlier by the time that it takes, beside other work. */
+static double small_first_weight(const struct run *r, const struct rp_plan_group *g,
+                                 double weight) {
+    double factor = class_factor(r, g);
+    return weight * factor - ESW_RARE * (1 - factor);
+}
+
 static void sort_groups(struct run *r, enum rp_job_order order) {
     size_t n = r->in->n_groups;
     struct rp_resources fleet = {0};
@@ -356,13 +391,15 @@
         take(&fleet, &r->in->machines[i].capacity, -1);
     double short_weight =
         ESW_WEIGHT * ESW_SHORT * fmax(1, (double)r->in->n_machines / ESW_SHORT_FLEET);
+    count_classes(r);
     if (order == RP_ESW)
         give_up_all(r);
     for (size_t i = 0; i < n; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
         /* Gangs are never given up: behind all smaller arrays they would wait too long. */
         bool small_first = g->kind == RP_ARRAY && r->plan->short_of_room[on_gpus(g)];
-        double key = group_key(g, order, i, &fleet, small_first ? short_weight : ESW_WEIGHT);
+        double weight = small_first ? small_first_weight(r, g, short_weight) : ESW_WEIGHT;
+        double key = group_key(g, order, i, &fleet, weight);
         if (order == RP_ESW)
             key += ESW_FETCH * fetch_ahead_s(r, i) - (g->spot ? 0 : ESW_FEW);
         r->sorted[i] = (struct sorted){.item = i, .rank = group_rank(r, i), .key = key};
--- a/src/plan.h
+++ b/src/plan.h
@@ -82,9 +82,10 @@
     double run_s;
     double image_gb;
     double age_s;
-    double slack_s; /* until the job is late, large when it can't be */
-    bool late;      /* it can be in time for nothing any more */
-    bool begin;     /* a first task of a job that has waited long: it is not to wait for the rest */
+    double slack_s;      /* until the job is late, large when it can't be */
+    bool late;           /* it can be in time for nothing any more */
+    uint32_t class_jobs; /* unfinished jobs of its class, this one included */
+    bool begin; /* a first task of a job that has waited long: it is not to wait for the rest */
     int team;
     uint32_t types, zones; /* bit sets of what is allowed */
     uint32_t spare_types;  /* of these only what the machines' own work leaves */
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -302,6 +302,31 @@
     return fmax(0, LATE_SLACK_S - (g->age_s + g->run_s - latest));
 }
 
+/* Unfinished jobs by class. Classes are told apart by their hashes: a wrong guess shifts an order.
+ */
+struct class_count {
+    uint64_t hash;
+    uint32_t jobs;
+};
+
+static struct class_count *class_of(struct class_count *counts, const struct rp_job *job) {
+    uint64_t hash = rp_text_hash(job->spec.class_name);
+    size_t i = 0;
+    while (i < RP_CLASSES_MAX - 1 && counts[i].jobs > 0 && counts[i].hash != hash)
+        i++; /* the last one takes what is beyond the bound */
+    counts[i].hash = hash;
+    return &counts[i];
+}
+
+static void count_classes(const struct rp_round *r, struct rp_round_input *x) {
+    struct class_count counts[RP_CLASSES_MAX] = {0};
+    for (const struct rp_job *job = r->jobs->first; job; job = job->next)
+        if (job->state == RP_JOB_OPEN)
+            class_of(counts, job)->jobs++;
+    for (size_t g = 0; g < x->in.n_groups; g++)
+        x->groups[g].class_jobs = class_of(counts, x->groups[g].ref)->jobs;
+}
+
 static void build_group(const struct rp_round *r, struct rp_job *job, uint32_t n,
                         struct rp_plan_group *g, struct timespec now) {
     const struct rp_job_spec *spec = &job->spec;
@@ -418,6 +443,7 @@
             if ((int)job->spec.priority == priority)
                 add_group(r, x, job, most, now);
     x->in.groups = x->groups;
+    count_classes(r, x);
     build_images(x);
 }
 
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -363,8 +363,44 @@
     free(g);
 }
 
+/* More work than can be in time: of a class of forty jobs some are given up rather than the only
+ * job of another class, though that is larger than any of them (incident 5bf9). */
+static void rare_classes_are_served(void **state) {
+    struct rp_plan_machine m[10];
+    struct rp_plan_group g[41];
+    struct rp_plan p;
+    uint32_t rare = 0;
+    (void)state;
+    for (int i = 0; i < 10; i++)
+        m[i] = machine(0, 8, 8);
+    for (int i = 0; i < 40; i++) {
+        g[i] = group(8, 1, 60);
+        g[i].slack_s = 40;
+        g[i].class_jobs = 40;
+    }
+    g[40] = group(160, 1, 10);
+    g[40].slack_s = 60;
+    g[40].class_jobs = 1;
+    struct rp_plan_input in = input(NULL, 0, m, 10, g, 41);
+    rp_plan_by(&in, (struct rp_heuristic){RP_ESW, RP_SM}, &p);
+    assert_true(p.short_of_room[0]);
+    for (size_t i = 0; i < 10; i++)
+        rare += put_on(&p, 40, i);
+    assert_int_equal(rare, 80);
+    rp_plan_free(&p);
+    /* As one job of many it is given up, as before. */
+    g[40].class_jobs = 40;
+    rp_plan_by(&in, (struct rp_heuristic){RP_ESW, RP_SM}, &p);
+    rare = 0;
+    for (size_t i = 0; i < 10; i++)
+        rare += put_on(&p, 40, i);
+    assert_int_equal(rare, 0);
+    rp_plan_free(&p);
+}
+
 int main(int argc, char **argv) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(formula_one),
+    const struct CMUnitTest tests[] = {cmocka_unit_test(rare_classes_are_served),
+                                       cmocka_unit_test(formula_one),
                                        cmocka_unit_test(first_with_room),
                                        cmocka_unit_test(rents_most_capacity_per_price),
                                        cmocka_unit_test(waits_rather_than_rents),
