--- a/src/api.c
+++ b/src/api.c
@@ -330,7 +330,7 @@
     for (size_t t = 0; t < n->catalog.n_types; t++)
         for (size_t z = 0; z < n->catalog.n_zones; z++)
             fits |= (n->catalog.types[t].zones >> z & 1) &&
-                    rp_picture_allows(&n->picture, spec, (int)t, (int)z, false);
+                    rp_cluster_allows(&n->cluster, spec, (int)t, (int)z, false);
     if (!fits) {
         strcpy(why, "a task fits no allowed machine type");
         return 422;
--- a/src/blame.c
+++ b/src/blame.c
@@ -34,7 +34,7 @@
     m->suspect = false;
 }
 
-static void condemn(struct rp_picture *p, struct rp_machine *m, const struct rp_job *job) {
+static void condemn(struct rp_cluster *p, struct rp_machine *m, const struct rp_job *job) {
     if (m->faulty)
         return;
     rp_info("machine %s is faulty: errors=%u, last job=%s", m->name, m->errors_row, job->spec.id);
@@ -51,7 +51,7 @@
 
 /* One job's errors are no proof: jobs with a mistake had every third good machine they met given
  * back, with its images (incident 4d52). Two jobs' are, or one's whose tasks end well elsewhere. */
-void rp_blame_machine(struct rp_picture *p, const struct rp_job *job, struct rp_machine *m,
+void rp_blame_machine(struct rp_cluster *p, const struct rp_job *job, struct rp_machine *m,
                       struct timespec now) {
     m->errors_row++;
     if (m->witness != rp_text_hash(job->spec.id)) {
@@ -69,7 +69,7 @@
 }
 
 /* The job fails everywhere: what it did to the machines' names is undone. */
-static void clear_machines(struct rp_picture *p, const struct rp_job *job) {
+static void clear_machines(struct rp_cluster *p, const struct rp_job *job) {
     for (unsigned i = 0; i < job->n_error_on; i++) {
         struct rp_machine *m = rp_machine_find(p, job->error_on[i]);
         if (m && m->n_witnesses <= 1 && m->witness == rp_text_hash(job->spec.id))
@@ -77,7 +77,7 @@
     }
 }
 
-void rp_blame_error(struct rp_picture *p, struct rp_job *job, struct rp_machine *m,
+void rp_blame_error(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m,
                     struct timespec now) {
     (void)rp_blame_note(job, m);
     if (!rp_blame_job_suspect(job)) {
@@ -93,7 +93,7 @@
     job->held_until = rp_ts_after(now, pause);
 }
 
-void rp_blame_success(struct rp_picture *p, struct rp_job *job, struct rp_machine *m) {
+void rp_blame_success(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m) {
     forgive(m);
     job->pauses = 0;
     if (job->n_done != 1)
--- a/src/picture.c
+++ b/src/cluster.c
@@ -1,10 +1,10 @@
-#include "picture.h"
+#include "cluster.h"
 
 #include <stdlib.h>
 #include <string.h>
 #include "log.h"
 
-int rp_picture_init(struct rp_picture *p, struct rp_loop *loop, struct rp_jobs *jobs,
+int rp_cluster_init(struct rp_cluster *p, struct rp_loop *loop, struct rp_jobs *jobs,
                     const struct rp_settings *settings, const struct rp_catalog *catalog) {
     memset(p, 0, sizeof *p);
     p->loop = loop;
@@ -23,7 +23,7 @@
     free(m);
 }
 
-static void drop_all(struct rp_picture *p) {
+static void drop_all(struct rp_cluster *p) {
     while (p->first)
         rp_machine_remove(p, p->first);
     free(p->unsettled);
@@ -31,7 +31,7 @@
     p->n_unsettled = p->cap_unsettled = 0;
 }
 
-void rp_picture_reset(struct rp_picture *p, uint64_t token) {
+void rp_cluster_reset(struct rp_cluster *p, uint64_t token) {
     drop_all(p);
     for (size_t i = 0; i < p->settings->n_teams; i++)
         p->team_cpus[i] = p->team_gpus[i] = 0;
@@ -40,20 +40,20 @@
     p->attempt_next = 0;
 }
 
-void rp_picture_free(struct rp_picture *p) {
+void rp_cluster_free(struct rp_cluster *p) {
     drop_all(p);
     free(p->team_cpus);
     free(p->team_gpus);
 }
 
-struct rp_machine *rp_machine_find(const struct rp_picture *p, const char *name) {
-    struct rp_machine *m = p->buckets[rp_text_hash(name) % RP_PICTURE_BUCKETS];
+struct rp_machine *rp_machine_find(const struct rp_cluster *p, const char *name) {
+    struct rp_machine *m = p->buckets[rp_text_hash(name) % RP_CLUSTER_BUCKETS];
     while (m && strcmp(m->name, name) != 0)
         m = m->hash_next;
     return m;
 }
 
-struct rp_machine *rp_machine_add(struct rp_picture *p, const char *name,
+struct rp_machine *rp_machine_add(struct rp_cluster *p, const char *name,
                                   enum rp_machine_state state) {
     struct rp_machine *m = calloc(1, sizeof *m);
     if (!m)
@@ -68,7 +68,7 @@
     else
         p->first = m;
     p->last = m;
-    struct rp_machine **bucket = &p->buckets[rp_text_hash(m->name) % RP_PICTURE_BUCKETS];
+    struct rp_machine **bucket = &p->buckets[rp_text_hash(m->name) % RP_CLUSTER_BUCKETS];
     m->hash_next = *bucket;
     *bucket = m;
     p->n_machines++;
@@ -76,9 +76,9 @@
     return m;
 }
 
-void rp_machine_remove(struct rp_picture *p, struct rp_machine *m) {
+void rp_machine_remove(struct rp_cluster *p, struct rp_machine *m) {
     rp_machine_session_over(p, m);
-    struct rp_machine **at = &p->buckets[rp_text_hash(m->name) % RP_PICTURE_BUCKETS];
+    struct rp_machine **at = &p->buckets[rp_text_hash(m->name) % RP_CLUSTER_BUCKETS];
     while (*at != m)
         at = &(*at)->hash_next;
     *at = m->hash_next;
@@ -95,7 +95,7 @@
     machine_free(m);
 }
 
-void rp_machine_enter(struct rp_picture *p, struct rp_machine *m, enum rp_machine_state state) {
+void rp_machine_enter(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state) {
     static const char *const names[] = {"booting", "unknown", "up", "lost", "returning"};
     struct timespec now = rp_loop_now(p->loop);
     if (m->state == state)
@@ -114,18 +114,18 @@
     p->unsettled_stale = true;
 }
 
-void rp_machine_note_token(struct rp_picture *p, struct rp_machine *m, bool seen) {
+void rp_machine_note_token(struct rp_cluster *p, struct rp_machine *m, bool seen) {
     if (m->token_seen != seen)
         p->unsettled_stale = true;
     m->token_seen = seen;
 }
 
-void rp_machine_clear_foreign(struct rp_picture *p, struct rp_machine *m) {
+void rp_machine_clear_foreign(struct rp_cluster *p, struct rp_machine *m) {
     p->n_with_foreign -= m->n_foreign > 0;
     m->n_foreign = 0;
 }
 
-bool rp_machine_add_foreign(struct rp_picture *p, struct rp_machine *m,
+bool rp_machine_add_foreign(struct rp_cluster *p, struct rp_machine *m,
                             const struct rp_foreign *foreign) {
     if (!m->foreign)
         m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
@@ -138,14 +138,14 @@
     return true;
 }
 
-void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m) {
+void rp_machine_session_over(struct rp_cluster *p, struct rp_machine *m) {
     while (m->n_places > 0)
         rp_place_drop(p, m, m->n_places - 1);
     /* What it has fetched stays on its disk: a cut or a hang takes the tasks, not the images. */
     rp_machine_clear_foreign(p, m);
 }
 
-uint64_t rp_picture_attempt(struct rp_picture *p) {
+uint64_t rp_cluster_attempt(struct rp_cluster *p) {
     return p->attempt_base + ++p->attempt_next;
 }
 
@@ -154,14 +154,14 @@
     return m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen);
 }
 
-static bool unsettled(const struct rp_picture *p, const struct rp_machine *m) {
+static bool unsettled(const struct rp_cluster *p, const struct rp_machine *m) {
     return m->state == RP_MACHINE_UNKNOWN || (m->state == RP_MACHINE_RETURNING && !m->token_seen &&
                                               !rp_ts_reached(rp_loop_now(p->loop), m->held_until));
 }
 
 /* Every start asks who is unsettled: the machines that may be are listed anew only after one of
  * them has changed, and mostly there are none. */
-static void list_unsettled(struct rp_picture *p) {
+static void list_unsettled(struct rp_cluster *p) {
     if (!p->unsettled_stale)
         return;
     p->n_unsettled = 0;
@@ -178,7 +178,7 @@
     p->unsettled_stale = false;
 }
 
-bool rp_picture_settled(struct rp_picture *p) {
+bool rp_cluster_settled(struct rp_cluster *p) {
     list_unsettled(p);
     for (size_t i = 0; i < p->n_unsettled; i++)
         if (unsettled(p, p->unsettled[i]))
@@ -186,7 +186,7 @@
     return true;
 }
 
-bool rp_picture_job_settled(struct rp_picture *p, const struct rp_job *job) {
+bool rp_cluster_job_settled(struct rp_cluster *p, const struct rp_job *job) {
     const struct rp_team *team = job->team >= 0 ? &p->settings->teams[job->team] : NULL;
     bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
     /* A job whose record is younger than our token was accepted after the last leader's lease had
@@ -198,7 +198,7 @@
         if (!unsettled(p, m))
             continue;
         bool unfit = m->type >= 0 && m->zone >= 0 &&
-                     !rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot);
+                     !rp_cluster_allows(p, &job->spec, m->type, m->zone, m->spot);
         if (limited || !(young || unfit))
             return false;
     }
@@ -209,7 +209,7 @@
     return state != RP_PLACE_EXITED;
 }
 
-struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m) {
+struct rp_resources rp_machine_free(const struct rp_cluster *p, const struct rp_machine *m) {
     struct rp_resources room = {0};
     if (m->type < 0)
         return room;
@@ -234,7 +234,7 @@
            m->type >= 0 && m->zone >= 0;
 }
 
-bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
+bool rp_cluster_allows(const struct rp_cluster *p, const struct rp_job_spec *spec, int type,
                        int zone, bool spot) {
     if (type < 0 || zone < 0 || (spot && !spec->spot))
         return false;
@@ -268,7 +268,7 @@
     return m->n_foreign == 0;
 }
 
-struct rp_resources rp_picture_over_quota(const struct rp_picture *p, const struct rp_job *job) {
+struct rp_resources rp_cluster_over_quota(const struct rp_cluster *p, const struct rp_job *job) {
     struct rp_resources over = {-1, -1, -1};
     const struct rp_team *team = job->team >= 0 ? &p->settings->teams[job->team] : NULL;
     bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
@@ -283,24 +283,24 @@
     return over;
 }
 
-bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_cluster_may_start(struct rp_cluster *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m) {
     static const struct rp_freed none = {0};
-    return rp_picture_may_start_over(p, job, task, m, &none);
+    return rp_cluster_may_start_over(p, job, task, m, &none);
 }
 
-bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_cluster_may_start_over(struct rp_cluster *p, const struct rp_job *job, uint32_t task,
                                const struct rp_machine *m, const struct rp_freed *freed) {
-    struct rp_resources room = rp_machine_free(p, m), over = rp_picture_over_quota(p, job);
+    struct rp_resources room = rp_machine_free(p, m), over = rp_cluster_over_quota(p, job);
     rp_resources_add(&room, &freed->room);
     return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && rp_job_places(job, task) == 0 &&
-           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_picture_job_settled(p, job) &&
-           rp_picture_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
+           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_cluster_job_settled(p, job) &&
+           rp_cluster_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
            rp_resources_fit(&job->spec.each, &room) && over.cpus <= freed->team.cpus &&
            over.gpus <= freed->team.gpus;
 }
 
-static void count_place(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+static void count_place(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
                         int sign) {
     struct rp_job *job = place->job;
     rp_job_count_place(job, place->task, sign);
@@ -321,7 +321,7 @@
         place->job->n_running += running ? 1 : (uint32_t)-1;
 }
 
-struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
+struct rp_place *rp_place_add(struct rp_cluster *p, struct rp_machine *m, struct rp_job *job,
                               uint32_t task, uint64_t attempt, enum rp_place_state state) {
     if (m->n_places == m->cap_places) {
         size_t cap = m->cap_places ? m->cap_places * 2 : 16;
@@ -344,7 +344,7 @@
     return place;
 }
 
-void rp_place_enter(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+void rp_place_enter(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
                     enum rp_place_state state) {
     if (place->state == state)
         return;
@@ -354,7 +354,7 @@
     place->state = state;
 }
 
-void rp_place_drop(struct rp_picture *p, struct rp_machine *m, size_t index) {
+void rp_place_drop(struct rp_cluster *p, struct rp_machine *m, size_t index) {
     struct rp_place *place = &m->places[index];
     struct rp_job *job = place->job;
     set_running(place, false);
@@ -372,7 +372,7 @@
     place->stop_sent = (struct timespec){0};
 }
 
-void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s) {
+void rp_cluster_stop_job(struct rp_cluster *p, struct rp_job *job, double grace_s) {
     for (struct rp_machine *m = p->first; m; m = m->next)
         for (size_t i = m->n_places; i-- > 0;) {
             struct rp_place *place = &m->places[i];
@@ -385,7 +385,7 @@
         }
 }
 
-void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, uint64_t hash, double gb) {
+void rp_machine_note_image(struct rp_cluster *p, struct rp_machine *m, uint64_t hash, double gb) {
     struct timespec now = rp_loop_now(p->loop);
     double total = gb;
     for (size_t i = 0; i < m->n_images; i++) {
--- a/src/picture.h
+++ b/src/cluster.h
@@ -1,8 +1,8 @@
 /* Who may be where: machines, and on each the tasks that may be on it. A task may be started only
- * by rp_picture_may_start's leave, which counts everything that MAY be on a machine: in flight,
+ * by rp_cluster_may_start's leave, which counts everything that MAY be on a machine: in flight,
  * fetching, stopping, on machines that can't be reached. */
-#ifndef RP_PICTURE_H
-#define RP_PICTURE_H
+#ifndef RP_CLUSTER_H
+#define RP_CLUSTER_H
 
 #include "jobs.h"
 #include "model.h"
@@ -110,16 +110,16 @@
     struct rp_machine *hash_next;
 };
 
-#define RP_PICTURE_BUCKETS 2048
+#define RP_CLUSTER_BUCKETS 2048
 
-struct rp_picture {
+struct rp_cluster {
     struct rp_loop *loop;
     struct rp_jobs *jobs;
     const struct rp_settings *settings;
     const struct rp_catalog *catalog;
     struct rp_machine *first, *last;
     size_t n_machines;
-    struct rp_machine *buckets[RP_PICTURE_BUCKETS];
+    struct rp_machine *buckets[RP_CLUSTER_BUCKETS];
     /* The machines that may hold tasks this leader doesn't know of; found anew after a change. */
     struct rp_machine **unsettled;
     size_t n_unsettled, cap_unsettled;
@@ -130,41 +130,41 @@
     uint64_t attempt_base, attempt_next;
 };
 
-int rp_picture_init(struct rp_picture *p, struct rp_loop *loop, struct rp_jobs *jobs,
+int rp_cluster_init(struct rp_cluster *p, struct rp_loop *loop, struct rp_jobs *jobs,
                     const struct rp_settings *settings, const struct rp_catalog *catalog);
 /* Forgets everything and starts numbering attempts for this token. */
-void rp_picture_reset(struct rp_picture *p, uint64_t token);
-void rp_picture_free(struct rp_picture *p);
+void rp_cluster_reset(struct rp_cluster *p, uint64_t token);
+void rp_cluster_free(struct rp_cluster *p);
 
-struct rp_machine *rp_machine_find(const struct rp_picture *p, const char *name);
-struct rp_machine *rp_machine_add(struct rp_picture *p, const char *name,
+struct rp_machine *rp_machine_find(const struct rp_cluster *p, const char *name);
+struct rp_machine *rp_machine_add(struct rp_cluster *p, const char *name,
                                   enum rp_machine_state state);
 /* The machine is certainly gone: everything on it is, too. */
-void rp_machine_remove(struct rp_picture *p, struct rp_machine *m);
+void rp_machine_remove(struct rp_cluster *p, struct rp_machine *m);
 /* The one place where a machine changes its state. */
-void rp_machine_enter(struct rp_picture *p, struct rp_machine *m, enum rp_machine_state state);
+void rp_machine_enter(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state);
 /* Whether its newest report shows our token. */
-void rp_machine_note_token(struct rp_picture *p, struct rp_machine *m, bool seen);
+void rp_machine_note_token(struct rp_cluster *p, struct rp_machine *m, bool seen);
 /* Forgets, and adds, tasks of jobs that this leader doesn't know; false beyond RP_FOREIGN_KEPT. */
-void rp_machine_clear_foreign(struct rp_picture *p, struct rp_machine *m);
-bool rp_machine_add_foreign(struct rp_picture *p, struct rp_machine *m,
+void rp_machine_clear_foreign(struct rp_cluster *p, struct rp_machine *m);
+bool rp_machine_add_foreign(struct rp_cluster *p, struct rp_machine *m,
                             const struct rp_foreign *foreign);
 /* The session is over: no task of it is on the machine any more. */
-void rp_machine_session_over(struct rp_picture *p, struct rp_machine *m);
+void rp_machine_session_over(struct rp_cluster *p, struct rp_machine *m);
 
 /* Unique over all leaders: the token and a count. */
-uint64_t rp_picture_attempt(struct rp_picture *p);
+uint64_t rp_cluster_attempt(struct rp_cluster *p);
 /* No machine may hold tasks that this leader doesn't know of. */
-bool rp_picture_settled(struct rp_picture *p);
+bool rp_cluster_settled(struct rp_cluster *p);
 /* No machine may hold tasks of this job that this leader doesn't know of. */
-bool rp_picture_job_settled(struct rp_picture *p, const struct rp_job *job);
-struct rp_resources rp_machine_free(const struct rp_picture *p, const struct rp_machine *m);
+bool rp_cluster_job_settled(struct rp_cluster *p, const struct rp_job *job);
+struct rp_resources rp_machine_free(const struct rp_cluster *p, const struct rp_machine *m);
 bool rp_machine_usable(const struct rp_machine *m);
 bool rp_machine_deaf(const struct rp_machine *m);
 /* The types, zones and kinds that the job allows. */
-bool rp_picture_allows(const struct rp_picture *p, const struct rp_job_spec *spec, int type,
+bool rp_cluster_allows(const struct rp_cluster *p, const struct rp_job_spec *spec, int type,
                        int zone, bool spot);
-bool rp_picture_may_start(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_cluster_may_start(struct rp_cluster *p, const struct rp_job *job, uint32_t task,
                           const struct rp_machine *m);
 /* What the very message that starts a task gives back before: of the machine's room, and of what
  * the job's team uses. */
@@ -172,24 +172,24 @@
     struct rp_resources room, team;
 };
 /* The same with that. */
-bool rp_picture_may_start_over(struct rp_picture *p, const struct rp_job *job, uint32_t task,
+bool rp_cluster_may_start_over(struct rp_cluster *p, const struct rp_job *job, uint32_t task,
                                const struct rp_machine *m, const struct rp_freed *freed);
 /* How far one more task of the job would be beyond its team's limit; not above 0: it isn't. */
-struct rp_resources rp_picture_over_quota(const struct rp_picture *p, const struct rp_job *job);
+struct rp_resources rp_cluster_over_quota(const struct rp_cluster *p, const struct rp_job *job);
 /* Nothing is on the machine, nor may be. What has ended may still be listed: attempts that were
  * started directly are kept known there, so that late copies of their starts do nothing. */
 bool rp_machine_idle(const struct rp_machine *m);
-struct rp_place *rp_place_add(struct rp_picture *p, struct rp_machine *m, struct rp_job *job,
+struct rp_place *rp_place_add(struct rp_cluster *p, struct rp_machine *m, struct rp_job *job,
                               uint32_t task, uint64_t attempt, enum rp_place_state state);
 /* The one place where a place changes its state; keeps all counts. */
-void rp_place_enter(struct rp_picture *p, struct rp_machine *m, struct rp_place *place,
+void rp_place_enter(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
                     enum rp_place_state state);
-void rp_place_drop(struct rp_picture *p, struct rp_machine *m, size_t index);
+void rp_place_drop(struct rp_cluster *p, struct rp_machine *m, size_t index);
 void rp_place_stop(struct rp_place *place, double grace_s);
 /* Wants every task of the job stopped, wherever it may be. */
-void rp_picture_stop_job(struct rp_picture *p, struct rp_job *job, double grace_s);
+void rp_cluster_stop_job(struct rp_cluster *p, struct rp_job *job, double grace_s);
 /* Images are known by the hashes of their names. */
-void rp_machine_note_image(struct rp_picture *p, struct rp_machine *m, uint64_t hash, double gb);
+void rp_machine_note_image(struct rp_cluster *p, struct rp_machine *m, uint64_t hash, double gb);
 bool rp_machine_has_image(const struct rp_machine *m, uint64_t hash);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -73,14 +73,14 @@
 
 void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
                    struct rp_state_client *state, struct rp_election *election,
-                   struct rp_picture *picture, struct rp_jobs *jobs,
+                   struct rp_cluster *cluster, struct rp_jobs *jobs,
                    const struct rp_settings *settings, struct rp_catalog *catalog) {
     memset(f, 0, sizeof *f);
     f->loop = loop;
     f->cloud = cloud;
     f->state = state;
     f->election = election;
-    f->picture = picture;
+    f->cluster = cluster;
     f->jobs = jobs;
     f->settings = settings;
     f->catalog = catalog;
@@ -151,7 +151,7 @@
     rental->state = state;
     rental->retry = (struct timespec){0};
     if (state == RP_RENTAL_LIVE) {
-        for (struct rp_machine *m = f->picture->first; m; m = m->next)
+        for (struct rp_machine *m = f->cluster->first; m; m = m->next)
             if (m->rental == rental)
                 m->recorded = true;
         if (f->on_changed)
@@ -166,7 +166,7 @@
 static size_t rental_names(const struct rp_fleet *f, const struct rp_rental *rental,
                            const char **names, size_t max) {
     size_t n = 0;
-    for (const struct rp_machine *m = f->picture->first; m && n < max; m = m->next)
+    for (const struct rp_machine *m = f->cluster->first; m && n < max; m = m->next)
         if (m->rental == rental)
             names[n++] = m->name;
     return n;
@@ -176,7 +176,7 @@
 static void note_recorded(struct rp_fleet *f, const struct rp_rental *rental,
                           const struct request *r) {
     for (size_t i = 0; i < r->n; i++) {
-        struct rp_machine *m = *r->names[i] ? rp_machine_find(f->picture, r->names[i]) : NULL;
+        struct rp_machine *m = *r->names[i] ? rp_machine_find(f->cluster, r->names[i]) : NULL;
         if (m && m->rental == rental)
             m->up_recorded = true;
     }
@@ -267,7 +267,7 @@
     const char *names[NAMES_MAX];
     bool up[NAMES_MAX];
     size_t n = 0;
-    for (struct rp_machine *m = f->picture->first; m && n < NAMES_MAX; m = m->next)
+    for (struct rp_machine *m = f->cluster->first; m && n < NAMES_MAX; m = m->next)
         if (m->rental == rental) {
             names[n] = m->name;
             up[n] = m->up_recorded || m->session > 0;
@@ -295,7 +295,7 @@
              ++f->next_name);
     struct rp_rental *second = rental_add(f, name);
     second->record = rental->record;
-    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+    for (struct rp_machine *m = f->cluster->first; m; m = m->next)
         if (m->rental == rental && k++ >= n / 2)
             m->rental = second;
     second->record.count = (unsigned)(n - n / 2);
@@ -378,11 +378,11 @@
     }
     rental->record.answered = true;
     for (size_t i = 0; i < n; i++) {
-        struct rp_machine *m = rp_machine_find(f->picture, names[i]);
+        struct rp_machine *m = rp_machine_find(f->cluster, names[i]);
         if ((m && m->rental) || rp_fleet_gone(f, names[i]))
             continue;
         if (!m)
-            m = rp_machine_add(f->picture, names[i], RP_MACHINE_BOOTING);
+            m = rp_machine_add(f->cluster, names[i], RP_MACHINE_BOOTING);
         m->rental = rental;
         rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
     }
@@ -527,7 +527,7 @@
     struct rp_rental *rental = m->rental;
     refusal_over(f, m);
     f->gone[f->n_gone++ % RP_GONE_KEPT] = rp_text_hash(m->name);
-    rp_machine_remove(f->picture, m);
+    rp_machine_remove(f->cluster, m);
     if (!rental)
         return;
     const char *names[1];
@@ -545,7 +545,7 @@
         goto out;
     f->deleting = false;
     for (size_t i = 0; i < r->n; i++) {
-        struct rp_machine *m = rp_machine_find(f->picture, r->names[i]);
+        struct rp_machine *m = rp_machine_find(f->cluster, r->names[i]);
         if (!m)
             continue;
         m->delete_sent = false;
@@ -565,7 +565,7 @@
     size_t n = 0;
     if (f->deleting || !rp_election_valid(f->election, rp_loop_now(f->loop)))
         return;
-    for (struct rp_machine *m = f->picture->first; m && n < DELETE_MAX; m = m->next)
+    for (struct rp_machine *m = f->cluster->first; m && n < DELETE_MAX; m = m->next)
         if (m->state == RP_MACHINE_RETURNING && !m->delete_sent) {
             m->delete_sent = true;
             names[n++] = m->name;
@@ -589,14 +589,14 @@
         return;
     rp_info("machine %s goes back: %s, rented %.0fs ago", m->name, why,
             rp_ts_since(rp_loop_now(f->loop), m->rented));
-    rp_machine_enter(f->picture, m, RP_MACHINE_RETURNING);
+    rp_machine_enter(f->cluster, m, RP_MACHINE_RETURNING);
     delete_some(f);
 }
 
 /* ---- the cloud's list ---- */
 
 static void list_entry(struct rp_fleet *f, const struct rp_listed *l) {
-    struct rp_machine *m = rp_machine_find(f->picture, l->machine);
+    struct rp_machine *m = rp_machine_find(f->cluster, l->machine);
     struct timespec now = rp_loop_now(f->loop);
     if (!m && rp_fleet_gone(f, l->machine))
         return;
@@ -605,7 +605,7 @@
          * it reports, or returned if it is in no rental under way for long. */
         if (l->age_s > 4 * f->settings->list_lag_s + 60 && rp_ts_since(now, f->led_since) > 30 &&
             l->state != RP_LISTED_FAILED) {
-            m = rp_machine_add(f->picture, l->machine, RP_MACHINE_BOOTING);
+            m = rp_machine_add(f->cluster, l->machine, RP_MACHINE_BOOTING);
             rp_fleet_describe(f, m, l->type, l->zone, l->spot);
             m->rented = rp_ts_sub(now, rp_ts(l->age_s));
             rp_fleet_adopt(f, m);
@@ -629,7 +629,7 @@
 
 static void list_ended(struct rp_fleet *f) {
     struct timespec now = rp_loop_now(f->loop);
-    for (struct rp_machine *m = f->picture->first; m; m = m->next) {
+    for (struct rp_machine *m = f->cluster->first; m; m = m->next) {
         /* A machine that has been listed stays listed until it is gone, and an old one has been,
          * but lists come out of order: two in a row must lack it, and the deletion's answer makes
          * it certain. */
@@ -684,7 +684,7 @@
     if (f->listing || !rp_ts_reached(now, f->next_list))
         return;
     bool any_silent = false;
-    for (const struct rp_machine *m = f->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = f->cluster->first; m; m = m->next)
         any_silent |= silent(f, m);
     f->next_list = rp_ts_after(now, any_silent ? 1.5 : 4);
     f->list_after[0] = '\0';
@@ -741,7 +741,7 @@
     size_t known = 0, quiet = 0;
     double limit = f->settings->report_s * 1.25 + 2.5;
     struct timespec newest = {0};
-    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = f->cluster->first; m; m = m->next) {
         if (m->session == 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
             continue;
         known++;
@@ -779,7 +779,7 @@
     f->zones_out = 0;
     if (rp_ts_since(now, f->led_since) < limit)
         return; /* after a takeover all are heard of anew */
-    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = f->cluster->first; m; m = m->next) {
         if (!m->up_recorded || m->zone < 0 || m->noticed || m->state == RP_MACHINE_RETURNING)
             continue;
         known[m->zone]++;
@@ -811,7 +811,7 @@
  * minute. */
 static void note_many_lost(struct rp_fleet *f, struct timespec now) {
     size_t lost = 0, known = 0;
-    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = f->cluster->first; m; m = m->next) {
         known += m->state != RP_MACHINE_BOOTING && m->state != RP_MACHINE_RETURNING;
         lost += m->state == RP_MACHINE_LOST;
     }
@@ -828,7 +828,7 @@
     case RP_MACHINE_UNKNOWN:
     case RP_MACHINE_UP:
         if (rp_ts_reached(now, m->held_until)) {
-            rp_machine_enter(f->picture, m, RP_MACHINE_LOST);
+            rp_machine_enter(f->cluster, m, RP_MACHINE_LOST);
             f->news = true;
         } else if (!cut_off && rp_machine_deaf(m) &&
                    rp_ts_since(now, m->deaf_since) > DEAF_RETURN_S)
@@ -862,7 +862,7 @@
 /* What ran on a lost machine runs elsewhere from the moment on when its lease is over. */
 static double until_lost_s(const struct rp_fleet *f, struct timespec now) {
     double next = TICK_S;
-    for (const struct rp_machine *m = f->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = f->cluster->first; m; m = m->next) {
         double left = rp_ts_since(m->held_until, now);
         if ((m->state == RP_MACHINE_UP || m->state == RP_MACHINE_UNKNOWN) && left > 0)
             next = fmin(next, left + TICK_LEAST_S / 10);
@@ -888,7 +888,7 @@
         rp_election_resign(f->election, STAND_BACK_S);
         return;
     }
-    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+    for (struct rp_machine *m = f->cluster->first; m; m = m->next)
         watch_machine(f, m, cut_off, now);
     if (f->news && f->on_changed)
         f->on_changed(f->arg);
@@ -925,12 +925,12 @@
     double age = f->loop->is_virtual ? 0 : rp_ts_since(wall, rental->record.asked);
     for (size_t i = 0; i < rp_record_rental_names(item->value); i++) {
         const char *name = rp_record_rental_name(item->value, i);
-        if (!name || rp_machine_find(f->picture, name))
+        if (!name || rp_machine_find(f->cluster, name))
             continue;
         /* No leader starts anything on a machine before its record says that it is up. */
         bool up = rp_record_rental_up(item->value, name);
         struct rp_machine *m =
-            rp_machine_add(f->picture, name, up ? RP_MACHINE_UNKNOWN : RP_MACHINE_BOOTING);
+            rp_machine_add(f->cluster, name, up ? RP_MACHINE_UNKNOWN : RP_MACHINE_BOOTING);
         m->up_recorded = up;
         m->rental = rental;
         rp_fleet_describe(f, m, rental->record.type, rental->record.zone, rental->record.spot);
@@ -990,7 +990,7 @@
     f->mute_ticks = 0;
     memset(f->refusals, 0, sizeof f->refusals);
     rp_timer_cancel(f->loop, &f->timer);
-    for (struct rp_machine *m = f->picture->first; m; m = m->next)
+    for (struct rp_machine *m = f->cluster->first; m; m = m->next)
         m->rental = NULL;
     while (f->rentals)
         rental_free(f, f->rentals);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -3,7 +3,7 @@
 #define RP_FLEET_H
 
 #include "cloud_client.h"
-#include "picture.h"
+#include "cluster.h"
 
 enum rp_rental_state {
     RP_RENTAL_WRITING,   /* the intent is being recorded */
@@ -42,7 +42,7 @@
     struct rp_cloud_client *cloud;
     struct rp_state_client *state;
     struct rp_election *election;
-    struct rp_picture *picture;
+    struct rp_cluster *cluster;
     struct rp_jobs *jobs;
     const struct rp_settings *settings;
     struct rp_catalog *catalog;
@@ -73,9 +73,9 @@
 
 void rp_fleet_init(struct rp_fleet *f, struct rp_loop *loop, struct rp_cloud_client *cloud,
                    struct rp_state_client *state, struct rp_election *election,
-                   struct rp_picture *picture, struct rp_jobs *jobs,
+                   struct rp_cluster *cluster, struct rp_jobs *jobs,
                    const struct rp_settings *settings, struct rp_catalog *catalog);
-/* Reads the rental records into the picture: every machine named there may hold tasks. */
+/* Reads the rental records into the cluster state: every machine named there may hold tasks. */
 void rp_fleet_load(struct rp_fleet *f);
 void rp_fleet_clear(struct rp_fleet *f);
 void rp_fleet_rent(struct rp_fleet *f, int type, int zone, bool spot, unsigned count);
--- a/src/hints.c
+++ b/src/hints.c
@@ -10,13 +10,13 @@
 static void tick(void *arg);
 
 void rp_hints_init(struct rp_hints *h, struct rp_loop *loop, struct rp_net net,
-                   struct rp_election *election, struct rp_picture *picture,
+                   struct rp_election *election, struct rp_cluster *cluster,
                    const struct rp_settings *settings) {
     memset(h, 0, sizeof *h);
     h->loop = loop;
     h->net = net;
     h->election = election;
-    h->picture = picture;
+    h->cluster = cluster;
     h->settings = settings;
     h->timer = (struct rp_timer){.fn = tick, .arg = h};
 }
@@ -51,9 +51,9 @@
 
 char *rp_hints_json(const struct rp_hints *h) {
     /* A leader that still reads its records knows no more than what it remembers. */
-    bool own = leads(h) && h->picture->n_machines > 0;
+    bool own = leads(h) && h->cluster->n_machines > 0;
     json_t *images = own ? json_object() : json_incref(h->known);
-    for (struct rp_machine *m = own ? h->picture->first : NULL; m; m = m->next)
+    for (struct rp_machine *m = own ? h->cluster->first : NULL; m; m = m->next)
         if (m->n_images > 0)
             json_object_set_new(images, m->name, images_of(m));
     json_t *v = json_pack("{s:o*}", "images", images);
@@ -67,12 +67,12 @@
     const char *name;
     json_t *list;
     json_object_foreach(images, name, list) {
-        struct rp_machine *m = rp_machine_find(h->picture, name);
+        struct rp_machine *m = rp_machine_find(h->cluster, name);
         for (size_t i = 0; m && m->type >= 0 && i + 1 < json_array_size(list); i += 2) {
             uint64_t hash = (uint64_t)json_integer_value(json_array_get(list, i));
             double gb = json_number_value(json_array_get(list, i + 1));
             if (!rp_machine_has_image(m, hash))
-                rp_machine_note_image(h->picture, m, hash, gb);
+                rp_machine_note_image(h->cluster, m, hash, gb);
         }
     }
 }
--- a/src/hints.h
+++ b/src/hints.h
@@ -7,20 +7,20 @@
 #include <jansson.h>
 #include "election.h"
 #include "net.h"
-#include "picture.h"
+#include "cluster.h"
 
 struct rp_hints {
     struct rp_loop *loop;
     struct rp_net net;
     struct rp_election *election;
-    struct rp_picture *picture;
+    struct rp_cluster *cluster;
     const struct rp_settings *settings;
     json_t *known; /* machine -> [image's hash, GB, ...], the one used longest ago first */
     struct rp_timer timer;
 };
 
 void rp_hints_init(struct rp_hints *h, struct rp_loop *loop, struct rp_net net,
-                   struct rp_election *election, struct rp_picture *picture,
+                   struct rp_election *election, struct rp_cluster *cluster,
                    const struct rp_settings *settings);
 void rp_hints_start(struct rp_hints *h);
 void rp_hints_close(struct rp_hints *h);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -641,9 +641,9 @@
         if (n > 0 && t->on_changed)
             t->on_changed(t->arg);
     } else if (result->outcome == RP_STATE_GONE) {
-        /* The watch fell too far behind: the table has to be read again, and with it the picture of
-         * who may be where. Under the same token old copies of reports would pass for news there,
-         * and attempt numbers for new ones: another term begins. */
+        /* The watch fell too far behind: the table has to be read again, and with it the cluster
+         * state of who may be where. Under the same token old copies of reports would pass for news
+         * there, and attempt numbers for new ones: another term begins. */
         rp_election_resign(t->election, 0);
     } else {
         t->follow_sent = (struct timespec){0}; /* the tick starts it again */
--- a/src/node.c
+++ b/src/node.c
@@ -48,18 +48,18 @@
                      s->tuning.leader_check_s, on_elected, on_lost, n);
     rp_upgrade_init(&n->upgrade, loop, &n->state, &n->election, s, on_format, n);
     rp_jobs_init(&n->jobs, loop, &n->state, &n->election, &n->upgrade, s);
-    if (rp_picture_init(&n->picture, loop, &n->jobs, s, &n->catalog) < 0)
+    if (rp_cluster_init(&n->cluster, loop, &n->jobs, s, &n->catalog) < 0)
         return -1;
-    rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->picture, &n->jobs, s,
+    rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->cluster, &n->jobs, s,
                   &n->catalog);
-    rp_hints_init(&n->hints, loop, net, &n->election, &n->picture, s);
+    rp_hints_init(&n->hints, loop, net, &n->election, &n->cluster, s);
     if (rp_metrics_init(&n->metrics) < 0)
         return -1;
-    rp_workers_init(&n->workers, loop, &n->election, &n->picture, &n->jobs, &n->fleet, s,
+    rp_workers_init(&n->workers, loop, &n->election, &n->cluster, &n->jobs, &n->fleet, s,
                     &n->metrics, net);
-    rp_services_init(&n->services, loop, &n->picture, &n->jobs, &n->workers, &n->fleet, s,
+    rp_services_init(&n->services, loop, &n->cluster, &n->jobs, &n->workers, &n->fleet, s,
                      &n->catalog);
-    rp_round_init(&n->round, loop, &n->election, &n->picture, &n->jobs, &n->fleet, &n->services, s,
+    rp_round_init(&n->round, loop, &n->election, &n->cluster, &n->jobs, &n->fleet, &n->services, s,
                   &n->metrics);
     n->jobs.on_loaded = on_loaded;
     n->jobs.on_closed = on_closed;
@@ -89,7 +89,7 @@
 void rp_node_close(struct rp_node *n) {
     rp_workers_close(&n->workers);
     rp_fleet_clear(&n->fleet);
-    rp_picture_free(&n->picture);
+    rp_cluster_free(&n->cluster);
     rp_jobs_clear(&n->jobs);
     rp_round_stop(&n->round);
     rp_services_stop(&n->services);
@@ -175,18 +175,18 @@
         rp_round_stop(&n->round);
         rp_services_stop(&n->services);
         rp_fleet_clear(&n->fleet);
-        rp_picture_reset(&n->picture, 0);
+        rp_cluster_reset(&n->cluster, 0);
         rp_jobs_clear(&n->jobs);
         break;
     case RP_NODE_RECOVERING:
         rp_round_stop(&n->round);
         rp_services_stop(&n->services);
         rp_fleet_clear(&n->fleet);
-        rp_picture_reset(&n->picture, n->election.token);
+        rp_cluster_reset(&n->cluster, n->election.token);
         rp_jobs_load(&n->jobs);
         break;
     case RP_NODE_LEADING:
-        rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->picture.n_machines);
+        rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->cluster.n_machines);
         rp_hints_lead(&n->hints);
         rp_services_start(&n->services);
         rp_round_start(&n->round);
@@ -230,7 +230,7 @@
 
 static void on_closed(void *arg, struct rp_job *job) {
     struct rp_node *n = arg;
-    rp_picture_stop_job(&n->picture, job, 0);
+    rp_cluster_stop_job(&n->cluster, job, 0);
 }
 
 /* How long until the next round that news may call for. Rounds that take long keep a longer
@@ -413,7 +413,7 @@
     static const char *const states[] = {"booting", "unknown", "up", "lost", "returning"};
     int counts[5] = {0};
     json_t *v = json_object();
-    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = n->cluster.first; m; m = m->next)
         counts[m->state]++;
     for (int i = 0; i < 5; i++)
         json_object_set_new(v, states[i], json_integer(counts[i]));
--- a/src/node.h
+++ b/src/node.h
@@ -11,7 +11,7 @@
 #include "jobs.h"
 #include "metrics.h"
 #include "net.h"
-#include "picture.h"
+#include "cluster.h"
 #include "round.h"
 #include "services.h"
 #include "settings.h"
@@ -39,7 +39,7 @@
     struct rp_election election;
     struct rp_upgrade upgrade;
     struct rp_jobs jobs;
-    struct rp_picture picture;
+    struct rp_cluster cluster;
     struct rp_fleet fleet;
     struct rp_workers workers;
     struct rp_services services;
--- a/src/plan.h
+++ b/src/plan.h
@@ -1,5 +1,6 @@
-/* Planning: a pure function of a picture. No I/O, no clock; randomness comes in as a seed.
- * Tasks of a job are alike, so work is planned by groups: a job's startable tasks together. */
+/* Planning: a pure function of a snapshot of the cluster. No I/O, no clock; randomness comes in as
+ * a seed. Tasks of a job are alike, so work is planned by groups: a job's startable tasks together.
+ */
 #ifndef RP_PLAN_H
 #define RP_PLAN_H
 
--- a/src/room.c
+++ b/src/room.c
@@ -41,12 +41,12 @@
         return NULL;
     if (rp_room_whole(job))
         return job;
-    struct rp_resources room = rp_machine_free(r->picture, m);
+    struct rp_resources room = rp_machine_free(r->cluster, m);
     return rp_resources_fit(&job->spec.each, &room) ? NULL : job;
 }
 
 void rp_room_mark_held(const struct rp_round *r) {
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = r->cluster->first; m; m = m->next) {
         struct rp_job *job = rp_room_reserved_for(r, m);
         if (job)
             job->held_round = r->n_rounds;
@@ -64,7 +64,7 @@
 
 static struct attempt attempt_of(const struct rp_round *r, const struct rp_job *job) {
     struct attempt a = {0};
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++) {
             const struct rp_place *place = &m->places[i];
             if (place->job != job || place->state == RP_PLACE_EXITED)
@@ -84,7 +84,7 @@
  * attempt there again would do nothing. */
 static struct rp_machine *left_on(const struct rp_round *r, const struct rp_job *job, uint32_t task,
                                   uint64_t attempt) {
-    for (struct rp_machine *m = r->picture->first; m; m = m->next)
+    for (struct rp_machine *m = r->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++)
             if (m->places[i].job == job && m->places[i].task == task &&
                 m->places[i].attempt == attempt)
@@ -99,9 +99,9 @@
         reserve(r, last, job, 0);
         return;
     }
-    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+    for (struct rp_machine *m = r->cluster->first; m; m = m->next) {
         const struct rp_job *kept = rp_room_reserved_for(r, m);
-        if ((kept && kept != job) || !rp_picture_may_start(r->picture, job, task, m))
+        if ((kept && kept != job) || !rp_cluster_may_start(r->cluster, job, task, m))
             continue;
         bool has = rp_machine_has_image(m, job->image_hash);
         if (!best || (has && !rp_machine_has_image(best, job->image_hash)))
@@ -112,7 +112,7 @@
             break;
     }
     if (best)
-        rp_place_add(r->picture, best, job, task, attempt, RP_PLACE_PLANNED);
+        rp_place_add(r->cluster, best, job, task, attempt, RP_PLACE_PLANNED);
 }
 
 /* A gang whose tasks still fetch their image or wait for one another is completed by a new start
@@ -123,7 +123,7 @@
     struct attempt a = attempt_of(r, job);
     double patience = r->settings->gang_wait_s * MEND_WAITS;
     if (a.begun || rp_ts_since(now, a.since) > patience) {
-        rp_picture_stop_job(r->picture, job, 0);
+        rp_cluster_stop_job(r->cluster, job, 0);
         return;
     }
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
@@ -136,7 +136,7 @@
 void rp_room_mend_gangs(struct rp_round *r, struct timespec now) {
     for (struct rp_job *job = r->jobs->first; job; job = job->next)
         if (job->spec.kind == RP_GANG && job->state == RP_JOB_OPEN && job->n_counted > 0 &&
-            job->n_counted < job->spec.n_tasks && rp_picture_job_settled(r->picture, job))
+            job->n_counted < job->spec.n_tasks && rp_cluster_job_settled(r->cluster, job))
             mend_gang(r, job, now);
 }
 
@@ -151,7 +151,7 @@
  * task of the job; negative when that wouldn't do. */
 static double stop_price(const struct rp_round *r, const struct rp_machine *m,
                          const struct rp_job *job, struct timespec now) {
-    struct rp_resources room = rp_machine_free(r->picture, m);
+    struct rp_resources room = rp_machine_free(r->cluster, m);
     double price = 1;
     for (size_t i = 0; i < m->n_places && !rp_resources_fit(&job->spec.each, &room); i++) {
         const struct rp_place *place = &m->places[i];
@@ -169,7 +169,7 @@
 }
 
 static void stop_for(struct rp_round *r, struct rp_machine *m, const struct rp_job *job) {
-    struct rp_resources room = rp_machine_free(r->picture, m);
+    struct rp_resources room = rp_machine_free(r->cluster, m);
     unsigned stopped = 0;
     double longest = 0;
     for (size_t i = 0; i < m->n_places; i++)
@@ -182,7 +182,7 @@
         rp_resources_add(&room, &place->job->spec.each);
         stopped++;
         if (place->state == RP_PLACE_PLANNED) {
-            rp_place_drop(r->picture, m, i);
+            rp_place_drop(r->cluster, m, i);
             continue;
         }
         const struct rp_job_spec *spec = &place->job->spec;
@@ -201,10 +201,10 @@
                                         bool with_image, struct timespec now) {
     struct rp_machine *best = NULL;
     double best_price = 0;
-    for (struct rp_machine *m = r->picture->first; m; m = m->next) {
+    for (struct rp_machine *m = r->cluster->first; m; m = m->next) {
         if (!rp_machine_usable(m) || rp_room_reserved_for(r, m) ||
             (with_image && !rp_machine_has_image(m, job->image_hash)) ||
-            !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot))
+            !rp_cluster_allows(r->cluster, &job->spec, m->type, m->zone, m->spot))
             continue;
         double price = stop_price(r, m, job, now);
         if (price >= 0 && (!best || price < best_price)) {
@@ -224,7 +224,7 @@
  * which a whole machine would stand idle for. */
 void rp_room_prefer_holders(struct rp_round *r, const struct rp_round_input *x,
                             struct rp_plan *plan, struct timespec now) {
-    if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
+    if (!r->settings->tuning.preemption || !rp_cluster_settled(r->cluster))
         return;
     for (size_t i = 0; i < plan->n_puts; i++) {
         struct rp_plan_put *put = &plan->puts[i];
@@ -248,7 +248,7 @@
  * larger gang would stand empty until the last of its places is free. */
 void rp_room_preempt(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
                      struct timespec now) {
-    if (!r->settings->tuning.preemption || !rp_picture_settled(r->picture))
+    if (!r->settings->tuning.preemption || !rp_cluster_settled(r->cluster))
         return;
     for (size_t g = 0; g < x->in.n_groups; g++) {
         const struct rp_job *job = x->groups[g].ref;
@@ -290,7 +290,7 @@
                           struct timespec now) {
     *c = (struct candidate){.machine = m->ref};
     if (!m->ref || m->kept || !rp_machine_usable(m->ref) || rp_room_reserved_for(r, m->ref) ||
-        !rp_picture_allows(r->picture, &job->spec, m->type, m->zone, m->spot) ||
+        !rp_cluster_allows(r->cluster, &job->spec, m->type, m->zone, m->spot) ||
         rp_plan_part(&job->spec.each, &m->capacity) <= 0.5)
         return false;
     c->free_s = rp_plan_fits_after(m, &job->spec.each);
@@ -374,7 +374,7 @@
         struct rp_job *job = group->ref;
         if (!rp_room_whole(job) || job->spec.n_tasks != 1 || group->held ||
             group->age_s < GATHER_ONE_S || gang_served(x, plan, g) ||
-            !rp_picture_job_settled(r->picture, job) || !soonest(r, x, job, list, now))
+            !rp_cluster_job_settled(r->cluster, job) || !soonest(r, x, job, list, now))
             continue;
         gather_for(r, job, list);
         kept++;
@@ -396,7 +396,7 @@
         bool before = chosen == x->in.n_groups || group->priority > x->groups[chosen].priority ||
                       (group->priority == x->groups[chosen].priority &&
                        group->age_s > x->groups[chosen].age_s);
-        if (before && rp_picture_job_settled(r->picture, job) && !gang_served(x, plan, g))
+        if (before && rp_cluster_job_settled(r->cluster, job) && !gang_served(x, plan, g))
             chosen = g;
     }
     return chosen;
@@ -439,7 +439,8 @@
     return place->job->spec.kind == RP_SERVICE ? STAYS_S : rp_place_left_s(r, m, place, now);
 }
 
-/* The room of every machine, in the picture's order, as it is used up by tasks that are to move. */
+/* The room of every machine, in the order of the cluster's list, as it is used up by tasks that are
+ * to move. */
 struct rooms {
     struct rp_resources *free;
     bool *source; /* machines being emptied: nothing moves there */
@@ -462,10 +463,10 @@
     double left = stays_s(r, from, place, now) + MOVE_S + place->job->spec.save_s;
     double best = -1;
     size_t at = 0;
-    for (const struct rp_machine *o = r->picture->first; o; o = o->next, at++) {
+    for (const struct rp_machine *o = r->cluster->first; o; o = o->next, at++) {
         if (o == from || rooms->source[at] || !rp_machine_usable(o) || rp_room_reserved_for(r, o) ||
             rp_machine_idle(o) ||
-            !rp_picture_allows(r->picture, &place->job->spec, o->type, o->zone, o->spot) ||
+            !rp_cluster_allows(r->cluster, &place->job->spec, o->type, o->zone, o->spot) ||
             !zone_takes(from, o, place->job) ||
             !rp_resources_fit(&place->job->spec.each, &rooms->free[at]) ||
             !rp_machine_has_image(o, place->job->image_hash))
@@ -559,12 +560,12 @@
  * machine's tasks must not be found twice. Returns how many these are. */
 static size_t rooms_fill(const struct rp_round *r, struct rooms *rooms, struct timespec now) {
     size_t at = 0, moving = 0;
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next, at++) {
-        rooms->free[at] = rp_machine_free(r->picture, m);
+    for (const struct rp_machine *m = r->cluster->first; m; m = m->next, at++) {
+        rooms->free[at] = rp_machine_free(r->cluster, m);
         rooms->source[at] = m->emptied;
         moving += m->emptied;
     }
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
         if (m->emptied)
             (void)move_price(r, rooms, m, now);
     return moving;
@@ -594,7 +595,7 @@
  * one. */
 void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
                             struct timespec now) {
-    struct rooms rooms = {.n = r->picture->n_machines};
+    struct rooms rooms = {.n = r->cluster->n_machines};
     rooms.free = calloc(rooms.n + 1, sizeof *rooms.free);
     rooms.source = calloc(rooms.n + 1, sizeof *rooms.source);
     if (!rooms.free || !rooms.source)
@@ -604,7 +605,7 @@
         struct rp_machine *best = NULL;
         double best_saving = 0;
         size_t best_at = 0, at = 0;
-        for (struct rp_machine *m = r->picture->first; m; m = m->next, at++) {
+        for (struct rp_machine *m = r->cluster->first; m; m = m->next, at++) {
             double saving = empty_saving(r, x, &rooms, m, now);
             if (saving > best_saving) {
                 best = m;
--- a/src/round.c
+++ b/src/round.c
@@ -10,7 +10,7 @@
 static void tick(void *arg);
 
 void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
-                   struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                   struct rp_cluster *cluster, struct rp_jobs *jobs, struct rp_fleet *fleet,
                    struct rp_services *services, const struct rp_settings *settings,
                    struct rp_metrics *metrics) {
     memset(r, 0, sizeof *r);
@@ -18,7 +18,7 @@
     r->metrics = metrics;
     r->loop = loop;
     r->election = election;
-    r->picture = picture;
+    r->cluster = cluster;
     r->jobs = jobs;
     r->fleet = fleet;
     r->settings = settings;
@@ -59,10 +59,10 @@
                         uint32_t count, uint64_t gang_attempt) {
     for (uint32_t i = 0; i < count; i++) {
         uint32_t task;
-        if (!next_task(job, &task) || !rp_picture_may_start(r->picture, job, task, m))
+        if (!next_task(job, &task) || !rp_cluster_may_start(r->cluster, job, task, m))
             return;
-        rp_place_add(r->picture, m, job, task,
-                     gang_attempt ? gang_attempt : rp_picture_attempt(r->picture),
+        rp_place_add(r->cluster, m, job, task,
+                     gang_attempt ? gang_attempt : rp_cluster_attempt(r->cluster),
                      RP_PLACE_PLANNED);
     }
 }
@@ -77,7 +77,7 @@
             all_now &= plan->puts[end++].now;
         /* A gang starts once the plan places all its tasks on machines that are up. */
         bool gang = g->kind == RP_GANG;
-        uint64_t attempt = gang && all_now ? rp_picture_attempt(r->picture) : 0;
+        uint64_t attempt = gang && all_now ? rp_cluster_attempt(r->cluster) : 0;
         for (; i < end; i++) {
             const struct rp_plan_put *put = &plan->puts[i];
             if (put->now && (!gang || all_now))
@@ -165,7 +165,7 @@
     for (size_t t = 0; t < c->n_types; t++) {
         double total = 0, by[RP_TASK_EXITED + 1] = {0};
         unsigned up = 0, booting = 0, idle = 0;
-        for (const struct rp_machine *m = r->picture->first; m; m = m->next) {
+        for (const struct rp_machine *m = r->cluster->first; m; m = m->next) {
             if (m->type != (int)t)
                 continue;
             up += m->state == RP_MACHINE_UP;
@@ -214,7 +214,7 @@
     rp_services_send(r->services);
     /* While machines from before the takeover are unknown, what they run is, too: renting for
      * tasks that may be running already would be waste. */
-    if (rp_picture_settled(r->picture)) {
+    if (rp_cluster_settled(r->cluster)) {
         apply_rentals(r, &x, &plan);
         hold_ready(r, &x, &plan);
         rp_room_preempt(r, &x, &plan, now);
--- a/src/round.h
+++ b/src/round.h
@@ -1,4 +1,4 @@
-/* The leader's round: builds the picture for the planner, runs the portfolio, applies the winner,
+/* The leader's round: builds the planner's input, runs the portfolio, applies the winner,
  * returns idle machines. */
 #ifndef RP_ROUND_H
 #define RP_ROUND_H
@@ -11,7 +11,7 @@
 struct rp_round {
     struct rp_loop *loop;
     struct rp_election *election;
-    struct rp_picture *picture;
+    struct rp_cluster *cluster;
     struct rp_jobs *jobs;
     struct rp_fleet *fleet;
     struct rp_services *services;
@@ -33,7 +33,7 @@
 };
 
 void rp_round_init(struct rp_round *r, struct rp_loop *loop, struct rp_election *election,
-                   struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                   struct rp_cluster *cluster, struct rp_jobs *jobs, struct rp_fleet *fleet,
                    struct rp_services *services, const struct rp_settings *settings,
                    struct rp_metrics *metrics);
 void rp_round_start(struct rp_round *r);
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -141,7 +141,7 @@
                              struct rp_plan_machine *out, struct rp_plan_end *ends,
                              struct timespec now) {
     const struct rp_type *type = &rp_round_catalog(r)->types[m->type];
-    struct rp_resources room = rp_machine_free(r->picture, m);
+    struct rp_resources room = rp_machine_free(r->cluster, m);
     *out = (struct rp_plan_machine){.ref = m,
                                     .type = m->type,
                                     .zone = m->zone,
@@ -214,15 +214,15 @@
         note_whole(r, t);
     for (size_t i = 0; i < x->in.n_kinds; i++)
         pending += rp_fleet_pending(r->fleet, x->kinds[i].type, x->kinds[i].zone, x->kinds[i].spot);
-    x->machines = calloc(r->picture->n_machines + pending + 1, sizeof *x->machines);
+    x->machines = calloc(r->cluster->n_machines + pending + 1, sizeof *x->machines);
     size_t places = 1;
-    for (const struct rp_machine *m = r->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
         places += m->n_places;
     x->ends = calloc(places, sizeof *x->ends);
     if (!x->machines || !x->ends)
         return;
     rp_room_mark_held(r);
-    for (struct rp_machine *m = r->picture->first; m; m = m->next)
+    for (struct rp_machine *m = r->cluster->first; m; m = m->next)
         if (plannable(r, m, now)) {
             describe_machine(r, m, &x->machines[x->in.n_machines++], &x->ends[x->n_ends], now);
             x->n_ends += m->n_places;
@@ -262,7 +262,7 @@
     for (size_t t = 0; t < c->n_types; t++)
         for (size_t z = 0; z < c->n_zones; z++)
             if ((c->types[t].zones >> z & 1) &&
-                rp_picture_allows(r->picture, spec, (int)t, (int)z, false)) {
+                rp_cluster_allows(r->cluster, spec, (int)t, (int)z, false)) {
                 types |= 1u << t;
                 if (c->types[t].capacity.gpus <= 0)
                     plain |= 1u << t;
@@ -452,9 +452,9 @@
     x->teams = calloc(s->n_teams + 1, sizeof *x->teams);
     for (size_t i = 0; x->teams && i < s->n_teams; i++) {
         x->teams[i].cpus_left =
-            s->teams[i].cpus_max > 0 ? s->teams[i].cpus_max - r->picture->team_cpus[i] : NO_LIMIT;
+            s->teams[i].cpus_max > 0 ? s->teams[i].cpus_max - r->cluster->team_cpus[i] : NO_LIMIT;
         x->teams[i].gpus_left =
-            s->teams[i].gpus_max > 0 ? s->teams[i].gpus_max - r->picture->team_gpus[i] : NO_LIMIT;
+            s->teams[i].gpus_max > 0 ? s->teams[i].gpus_max - r->cluster->team_gpus[i] : NO_LIMIT;
     }
     x->in.teams = x->teams;
     x->in.n_teams = s->n_teams;
--- a/src/round_input.h
+++ b/src/round_input.h
@@ -1,4 +1,4 @@
-/* The leader's picture as the planner sees it. */
+/* The leader's cluster state as the planner sees it. */
 #ifndef RP_ROUND_INPUT_H
 #define RP_ROUND_INPUT_H
 
--- a/src/services.c
+++ b/src/services.c
@@ -31,14 +31,14 @@
 
 static void watch_due(void *arg);
 
-void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_picture *picture,
+void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_cluster *cluster,
                       struct rp_jobs *jobs, struct rp_workers *workers, struct rp_fleet *fleet,
                       const struct rp_settings *settings, const struct rp_catalog *catalog) {
     memset(s, 0, sizeof *s);
     s->fleet = fleet;
     s->watch = (struct rp_timer){.fn = watch_due, .arg = s};
     s->loop = loop;
-    s->picture = picture;
+    s->cluster = cluster;
     s->jobs = jobs;
     s->workers = workers;
     s->settings = settings;
@@ -99,8 +99,8 @@
 /* What one more task of the job still lacks on the machine. */
 static enum lack lacking(const struct rp_services *s, const struct rp_machine *m,
                          const struct rp_job *job, const struct rp_freed *freed) {
-    struct rp_resources room = rp_machine_free(s->picture, m);
-    struct rp_resources over = rp_picture_over_quota(s->picture, job);
+    struct rp_resources room = rp_machine_free(s->cluster, m);
+    struct rp_resources over = rp_cluster_over_quota(s->cluster, job);
     rp_resources_add(&room, &freed->room);
     if (!rp_resources_fit(&job->spec.each, &room))
         return LACK_ROOM;
@@ -159,7 +159,7 @@
             break;
         s->n_made_room++;
         if (place->state == RP_PLACE_PLANNED) {
-            rp_place_drop(s->picture, m, (size_t)(place - m->places));
+            rp_place_drop(s->cluster, m, (size_t)(place - m->places));
             continue; /* its room is free, and its team's part, as counted anew */
         }
         rp_place_stop(place, 0);
@@ -215,7 +215,7 @@
 static double price_of(const struct rp_services *s, struct rp_machine *m, const struct rp_job *job,
                        struct timespec now) {
     if (!rp_machine_usable(m) || m->emptied || kept(m, now) || !fresh(s, m, now) ||
-        !rp_picture_allows(s->picture, &job->spec, m->type, m->zone, m->spot))
+        !rp_cluster_allows(s->cluster, &job->spec, m->type, m->zone, m->spot))
         return -1;
     double lost = room_price(s, m, job, now);
     if (lost < 0)
@@ -246,10 +246,10 @@
     static const struct rp_freed all = {{1e12, 1e12, 1e12}, {1e12, 1e12, 1e12}};
     struct rp_machine *best = NULL;
     double best_price = 0;
-    for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+    for (struct rp_machine *m = s->cluster->first; m; m = m->next) {
         double price = price_of(s, m, job, now);
         if (price < 0 || (best && price >= best_price) ||
-            !rp_picture_may_start_over(s->picture, job, task, m, &all))
+            !rp_cluster_may_start_over(s->cluster, job, task, m, &all))
             continue;
         best = m;
         best_price = price;
@@ -263,9 +263,9 @@
     if (!best)
         return false;
     struct rp_freed freed = make_room(s, best, job, now);
-    if (!rp_picture_may_start_over(s->picture, job, task, best, &freed))
+    if (!rp_cluster_may_start_over(s->cluster, job, task, best, &freed))
         return false;
-    rp_place_add(s->picture, best, job, task, rp_picture_attempt(s->picture), RP_PLACE_PLANNED);
+    rp_place_add(s->cluster, best, job, task, rp_cluster_attempt(s->cluster), RP_PLACE_PLANNED);
     s->n_placed++;
     return true;
 }
@@ -279,11 +279,11 @@
 /* What the team of the job lacks for its missing replicas, once all that is being stopped is gone.
  */
 static struct rp_resources quota_lack(const struct rp_services *s, const struct rp_job *job) {
-    struct rp_resources over = rp_picture_over_quota(s->picture, job);
+    struct rp_resources over = rp_cluster_over_quota(s->cluster, job);
     double more = job->spec.n_tasks - job->n_counted - 1.0;
     over.cpus += more * job->spec.each.cpus;
     over.gpus += more * job->spec.each.gpus;
-    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++) {
             const struct rp_place *place = &m->places[i];
             if (place->state == RP_PLACE_EXITED || !place->stop || place->job->team != job->team)
@@ -301,7 +301,7 @@
     while (isfinite(over.cpus) && isfinite(over.gpus) && beyond(&over)) {
         struct rp_machine *from = NULL;
         struct rp_place *best = NULL;
-        for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+        for (struct rp_machine *m = s->cluster->first; m; m = m->next) {
             struct rp_place *place = cheapest(m, job, LACK_QUOTA, NULL, now);
             if (place && (!best || worth(place, now) < worth(best, now))) {
                 best = place;
@@ -315,7 +315,7 @@
         over.gpus -= spec->each.gpus;
         s->n_made_room++;
         if (best->state == RP_PLACE_PLANNED)
-            rp_place_drop(s->picture, from, (size_t)(best - from->places));
+            rp_place_drop(s->cluster, from, (size_t)(best - from->places));
         else
             rp_place_stop(best, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
     }
@@ -351,7 +351,7 @@
 
 double rp_services_ready_cpus(const struct rp_services *s, const struct rp_machine *without) {
     double cpus = 0;
-    for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = s->cluster->first; m; m = m->next) {
         if (m == without || m->type < 0 || m->spot || m->emptied ||
             s->catalog->types[m->type].capacity.gpus > 0)
             continue;
@@ -359,7 +359,7 @@
             cpus += s->catalog->types[m->type].capacity.cpus;
         if (!rp_machine_usable(m))
             continue;
-        double room = rp_machine_free(s->picture, m).cpus;
+        double room = rp_machine_free(s->cluster, m).cpus;
         for (size_t i = 0; i < m->n_places; i++) {
             const struct rp_place *place = &m->places[i];
             if (place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
@@ -381,7 +381,7 @@
 }
 
 void rp_services_send(struct rp_services *s) {
-    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (struct rp_machine *m = s->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++)
             if (to_send(&m->places[i])) {
                 rp_workers_direct(s->workers, m);
@@ -390,7 +390,7 @@
 }
 
 static void place_job(struct rp_services *s, struct rp_job *job, struct timespec now) {
-    if (!rp_picture_job_settled(s->picture, job))
+    if (!rp_cluster_job_settled(s->cluster, job))
         return;
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
         if (rp_job_places(job, task) == 0 && !place_task(s, job, task, now)) {
@@ -433,7 +433,7 @@
         if (job->spec.kind == RP_SERVICE && job->state == RP_JOB_OPEN &&
             job->n_running < job->spec.n_tasks)
             return true;
-    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++)
             if (m->places[i].job->spec.kind == RP_SERVICE && going(&m->places[i]))
                 return true;
@@ -444,7 +444,7 @@
 static bool could_go(const struct rp_services *s, const struct rp_machine *from,
                      const struct rp_place *place, struct timespec now) {
     struct rp_job *job = place->job;
-    for (struct rp_machine *m = s->picture->first; m; m = m->next) {
+    for (struct rp_machine *m = s->cluster->first; m; m = m->next) {
         bool zone = m->zone == from->zone ||
                     (!job->spec.one_zone && (!job->spec.spread || job->zone_count[m->zone] + 1 <=
                                                                       (job->spec.n_tasks + 1) / 2));
@@ -477,7 +477,7 @@
 static void drain_one(struct rp_services *s, struct timespec now) {
     if (any_unsteady(s))
         return;
-    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (struct rp_machine *m = s->cluster->first; m; m = m->next)
         if (m->state == RP_MACHINE_UP && (m->emptied || m->faulty) && holds_replicas(m)) {
             drain(s, m, now);
             return;
@@ -493,7 +493,7 @@
 static uint32_t zones_in_doubt(const struct rp_services *s, struct timespec now) {
     double known[RP_ZONES_MAX] = {0}, silent[RP_ZONES_MAX] = {0}, all = 0, all_silent = 0;
     uint32_t zones = 0;
-    for (const struct rp_machine *m = s->picture->first; m; m = m->next) {
+    for (const struct rp_machine *m = s->cluster->first; m; m = m->next) {
         if (m->session == 0 || m->zone < 0 || m->state == RP_MACHINE_RETURNING)
             continue;
         known[m->zone]++;
@@ -534,10 +534,10 @@
  * once there are many, another term begins, under which workers may forget them. */
 static bool much_to_forget(const struct rp_services *s) {
     size_t kept = 0;
-    for (const struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
         for (size_t i = 0; i < m->n_places; i++)
             kept += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
-    return kept > KEPT_LEAST && kept > KEPT_EACH * s->picture->n_machines;
+    return kept > KEPT_LEAST && kept > KEPT_EACH * s->cluster->n_machines;
 }
 
 static void watch_due(void *arg) {
@@ -552,7 +552,7 @@
         return;
     }
     uint32_t doubt = zones_in_doubt(s, now);
-    for (struct rp_machine *m = s->picture->first; m; m = m->next)
+    for (struct rp_machine *m = s->cluster->first; m; m = m->next)
         watch_machine(s, m, doubt, now);
     drain_one(s, now);
     rp_services_run(s);
--- a/src/services.h
+++ b/src/services.h
@@ -15,7 +15,7 @@
 
 struct rp_services {
     struct rp_loop *loop;
-    struct rp_picture *picture;
+    struct rp_cluster *cluster;
     struct rp_jobs *jobs;
     struct rp_workers *workers;
     struct rp_fleet *fleet;
@@ -27,7 +27,7 @@
     unsigned long n_placed, n_made_room, n_moved;
 };
 
-void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_picture *picture,
+void rp_services_init(struct rp_services *s, struct rp_loop *loop, struct rp_cluster *cluster,
                       struct rp_jobs *jobs, struct rp_workers *workers, struct rp_fleet *fleet,
                       const struct rp_settings *settings, const struct rp_catalog *catalog);
 void rp_services_start(struct rp_services *s);
--- a/src/workers.c
+++ b/src/workers.c
@@ -31,7 +31,7 @@
 static void seek_due(void *arg);
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
-                     struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                     struct rp_cluster *cluster, struct rp_jobs *jobs, struct rp_fleet *fleet,
                      const struct rp_settings *settings, struct rp_metrics *metrics,
                      struct rp_net net) {
     memset(w, 0, sizeof *w);
@@ -39,7 +39,7 @@
     w->metrics = metrics;
     w->loop = loop;
     w->election = election;
-    w->picture = picture;
+    w->cluster = cluster;
     w->jobs = jobs;
     w->fleet = fleet;
     w->settings = settings;
@@ -128,7 +128,7 @@
     return rp_election_valid(w->election, now) && rp_jobs_may_answer(w->jobs);
 }
 
-/* ---- reading the report into the picture ---- */
+/* ---- reading the report into the cluster state ---- */
 
 static struct rp_place *find_place(struct rp_machine *m, const struct rp_job *job, uint32_t task,
                                    uint64_t attempt) {
@@ -145,7 +145,7 @@
     struct rp_foreign f = {
         .task = t->task, .attempt = t->attempt, .exited = t->state == RP_TASK_EXITED};
     strcpy(f.job, t->job);
-    if (rp_machine_add_foreign(w->picture, m, &f))
+    if (rp_machine_add_foreign(w->cluster, m, &f))
         return;
     /* The machine gets no work while it has any, so the rest is stopped from a later report. */
     if (w->n_over_bounds++ == 0)
@@ -170,7 +170,7 @@
     if (!rp_blame_note(job, m) && held)
         return;
     if (!rp_blame_job_suspect(job) && place->why == RP_EXIT_ERROR)
-        rp_blame_machine(w->picture, job, m, now);
+        rp_blame_machine(w->cluster, job, m, now);
     job->ends_row++;
     double pause = before == 0 ? 0 : ldexp(REPLICA_PAUSE_S, (int)fmin(job->ends_row, 8) - 2);
     job->held_until = rp_ts_after(now, fmin(pause, REPLICA_PAUSE_MAX_S));
@@ -189,11 +189,11 @@
         if (ran)
             rp_jobs_observe(w->jobs, job, rp_ts_since(now, place->running));
         rp_jobs_task_done(w->jobs, job, place->task);
-        rp_blame_success(w->picture, job, m);
+        rp_blame_success(w->cluster, job, m);
         break;
     case RP_EXIT_ERROR:
         if (job->spec.kind != RP_SERVICE)
-            rp_blame_error(w->picture, job, m, now);
+            rp_blame_error(w->cluster, job, m, now);
         break;
     case RP_EXIT_NO_ROOM:
     case RP_EXIT_BUSY:
@@ -217,20 +217,20 @@
          * one that shows our token doesn't. */
         if (t->state != RP_TASK_EXITED && m->token_seen && rp_job_places(job, t->task))
             rp_error("task %s/%u may be in two places, one is %s", job->spec.id, t->task, m->name);
-        place = rp_place_add(w->picture, m, job, t->task, t->attempt, RP_PLACE_SEEN);
+        place = rp_place_add(w->cluster, m, job, t->task, t->attempt, RP_PLACE_SEEN);
     }
     place->marked = true;
     place->seen_seq = m->seq;
     if (place->state == RP_PLACE_EXITED)
         return;
     if (t->state == RP_TASK_EXITED) {
-        rp_place_enter(w->picture, m, place, RP_PLACE_EXITED);
+        rp_place_enter(w->cluster, m, place, RP_PLACE_EXITED);
         place->task_state = t->state;
         place->why = t->why;
         task_exited(w, m, place);
         return;
     }
-    rp_place_enter(w->picture, m, place, RP_PLACE_SEEN);
+    rp_place_enter(w->cluster, m, place, RP_PLACE_SEEN);
     if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
         job->n_running++;
         place->running = rp_loop_now(w->loop);
@@ -240,7 +240,7 @@
         job->n_running--;
     }
     if (t->state != RP_TASK_FETCHING && place->task_state == RP_TASK_FETCHING)
-        rp_machine_note_image(w->picture, m, job->image_hash, job->spec.image_gb);
+        rp_machine_note_image(w->cluster, m, job->image_hash, job->spec.image_gb);
     place->task_state = t->state;
     double ran = place->running.tv_sec ? rp_ts_since(rp_loop_now(w->loop), place->running) : 0;
     if (ran > job->run_floor_s)
@@ -288,7 +288,7 @@
         bool may_arrive = place->state == RP_PLACE_SENT && place->direct;
         if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight && !may_arrive &&
             place->seen_seq < seq)
-            rp_place_drop(w->picture, m, i);
+            rp_place_drop(w->cluster, m, i);
     }
 }
 
@@ -309,10 +309,10 @@
         /* A gang's progress is safe only if all of its tasks are told within gang_peer_s: each
          * machine reports before that. */
         if (spec->kind == RP_GANG && spec->n_tasks > 1 && !place->stop)
-            rp_picture_stop_job(w->picture, place->job,
+            rp_cluster_stop_job(w->cluster, place->job,
                                 spec->checkpoint_s > 0 && !idle ? grace : 0);
         else if (place->state == RP_PLACE_PLANNED)
-            rp_place_drop(w->picture, m, i);
+            rp_place_drop(w->cluster, m, i);
         else if (spec->kind == RP_SERVICE)
             rp_place_stop(place, 0); /* so it runs elsewhere sooner than when the machine goes */
         else if (idle)
@@ -337,7 +337,7 @@
 static void read_report(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
     note_hearing(w, m, r);
     if (r->session > m->session && m->session > 0)
-        rp_machine_session_over(w->picture, m);
+        rp_machine_session_over(w->cluster, m);
     bool behind = r->session == m->session && r->seq < m->seq;
     m->session = r->session;
     m->report_seq = r->seq;
@@ -345,14 +345,14 @@
     m->last_report = m->last_heard = rp_loop_now(w->loop);
     m->unreached = false;
     strcpy(m->addr, r->addr);
-    rp_machine_note_token(w->picture, m, r->token == w->election->token);
+    rp_machine_note_token(w->cluster, m, r->token == w->election->token);
     for (size_t i = 0; i < m->n_places; i++)
         m->places[i].marked = false;
     if (behind) {
         mark_listed(w, m, r);
     } else {
         m->seq = r->seq;
-        rp_machine_clear_foreign(w->picture, m);
+        rp_machine_clear_foreign(w->cluster, m);
         for (size_t i = 0; i < r->n_tasks; i++)
             read_task(w, m, &r->tasks[i]);
     }
@@ -361,7 +361,7 @@
     /* Only a report that shows our token proves that no start of an earlier leader is still on
      * its way; until then the machine may hold more than it says. */
     if (m->state != RP_MACHINE_RETURNING && m->token_seen)
-        rp_machine_enter(w->picture, m, RP_MACHINE_UP);
+        rp_machine_enter(w->cluster, m, RP_MACHINE_UP);
     rp_fleet_came_up(w->fleet, m);
 }
 
@@ -432,7 +432,7 @@
 static bool start_still_good(struct rp_workers *w, const struct rp_machine *m,
                              const struct rp_place *place) {
     return place->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
-           rp_picture_job_settled(w->picture, place->job) && rp_jobs_may_start(w->jobs);
+           rp_cluster_job_settled(w->cluster, place->job) && rp_jobs_may_start(w->jobs);
 }
 
 /* A direct start whose answer was lost is said again: the same attempt can't begin twice. */
@@ -456,13 +456,13 @@
         if (place->state != RP_PLACE_PLANNED || (direct && place->job->spec.kind != RP_SERVICE))
             continue;
         if (!start_still_good(w, m, place)) {
-            rp_place_drop(w->picture, m, i);
+            rp_place_drop(w->cluster, m, i);
             continue;
         }
         if (b->n == COMMANDS_MAX)
             return;
         command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
-        rp_place_enter(w->picture, m, place, RP_PLACE_SENT);
+        rp_place_enter(w->cluster, m, place, RP_PLACE_SENT);
         place->sent_seq = m->report_seq;
         place->direct = place->direct_open = direct;
         w->n_starts++;
@@ -495,13 +495,13 @@
 /* The machine of the report; NULL if nobody's record names it and it may be a copy of a report sent
  * long ago, by a machine that is gone: only one that shows our token proves that there is one. */
 static struct rp_machine *machine_of(struct rp_workers *w, const struct rp_report *r) {
-    struct rp_machine *m = rp_machine_find(w->picture, r->machine);
+    struct rp_machine *m = rp_machine_find(w->cluster, r->machine);
     if (!m && r->token != w->election->token)
         return NULL;
     if (!m) {
         /* Nobody's record names it, so no leader has ever started anything on it. */
         rp_info("machine %s reports and is in no record: adopted", r->machine);
-        m = rp_machine_add(w->picture, r->machine, RP_MACHINE_BOOTING);
+        m = rp_machine_add(w->cluster, r->machine, RP_MACHINE_BOOTING);
     }
     rp_fleet_describe(w->fleet, m, r->type, r->zone, r->spot);
     return m;
@@ -626,7 +626,7 @@
     w->held = NULL;
     w->n_held = w->cap_held = 0;
     for (size_t i = 0; i < n; i++) {
-        struct rp_machine *m = w->ready ? rp_machine_find(w->picture, held[i].machine) : NULL;
+        struct rp_machine *m = w->ready ? rp_machine_find(w->cluster, held[i].machine) : NULL;
         if (!w->ready)
             not_here(w, held[i].req);
         else if (!m || m->session != held[i].session || m->report_seq != held[i].seq)
@@ -671,7 +671,7 @@
 /* The machine that was asked, if it still is in the same session under the same leader. */
 static struct rp_machine *direct_machine(const struct direct *d) {
     struct rp_machine *m =
-        d->w->election->token == d->token ? rp_machine_find(d->w->picture, d->machine) : NULL;
+        d->w->election->token == d->token ? rp_machine_find(d->w->cluster, d->machine) : NULL;
     return m && m->session == d->session ? m : NULL;
 }
 
@@ -704,7 +704,7 @@
         /* Refused whole, or never sent. (Carried out, it is listed: in this answer, or in a newer
          * report that came before it. Without an answer it may still arrive.) */
         if (place->state == RP_PLACE_SENT && refused)
-            rp_place_drop(d->w->picture, m, i);
+            rp_place_drop(d->w->cluster, m, i);
     }
 }
 
--- a/src/workers.h
+++ b/src/workers.h
@@ -4,7 +4,7 @@
 
 #include "fleet.h"
 #include "metrics.h"
-#include "picture.h"
+#include "cluster.h"
 
 /* A report that brought news, whose answer waits for the round that this calls for. */
 struct rp_held_report {
@@ -17,7 +17,7 @@
 struct rp_workers {
     struct rp_loop *loop;
     struct rp_election *election;
-    struct rp_picture *picture;
+    struct rp_cluster *cluster;
     struct rp_jobs *jobs;
     struct rp_fleet *fleet;
     const struct rp_settings *settings;
@@ -37,7 +37,7 @@
 };
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
-                     struct rp_picture *picture, struct rp_jobs *jobs, struct rp_fleet *fleet,
+                     struct rp_cluster *cluster, struct rp_jobs *jobs, struct rp_fleet *fleet,
                      const struct rp_settings *settings, struct rp_metrics *metrics,
                      struct rp_net net);
 void rp_workers_report(struct rp_workers *w, struct rp_request *req);
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -1,4 +1,4 @@
-/* The planner against cases worked by hand, and its constraints on random pictures. */
+/* The planner against cases worked by hand, and its constraints on random inputs. */
 #include "test.h"
 
 #include <gsl/gsl_rng.h>
@@ -181,9 +181,9 @@
     assert_false(rp_plan_better(&b, &c));
 }
 
-/* Whatever the picture: no machine is overfilled, nothing is put where it isn't allowed, gangs are
+/* Whatever the input: no machine is overfilled, nothing is put where it isn't allowed, gangs are
  * whole, limits and zones hold. */
-static void random_pictures(void **state) {
+static void random_inputs(void **state) {
     gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
     (void)state;
     gsl_rng_set(rng, 11);
@@ -412,7 +412,7 @@
                                        cmocka_unit_test(kept_machines),
                                        cmocka_unit_test(spare_room_of_gpu_machines),
                                        cmocka_unit_test(full_machines_are_not_looked_at),
-                                       cmocka_unit_test(random_pictures)};
+                                       cmocka_unit_test(random_inputs)};
     choose_test(argc, argv);
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -91,7 +91,7 @@
     sim_run(s, 60);
     int leader = sim_leader(s);
     unsigned long returned = s->nodes[leader].node->fleet.n_returned;
-    assert_true(s->nodes[leader].node->picture.n_machines >= 4);
+    assert_true(s->nodes[leader].node->cluster.n_machines >= 4);
     s->cut_from_workers = leader + 1;
     sim_run(s, 11);
     assert_true(sim_leader(s) >= 0 && sim_leader(s) != leader);
@@ -241,7 +241,7 @@
     w->deaf_until = s->now + 1000;
     strcpy(name, w->name);
     sim_run(s, 35);
-    struct rp_picture *p = &s->nodes[sim_leader(s)].node->picture;
+    struct rp_cluster *p = &s->nodes[sim_leader(s)].node->cluster;
     const struct rp_machine *m = rp_machine_find(p, name);
     assert_true(!m || !rp_machine_usable(m));
     assert_true(!m || m->n_places == 0);
@@ -266,7 +266,7 @@
     w->deaf_until = s->now + 1000;
     sim_crash(s, sim_leader(s), 3);
     sim_run(s, 45);
-    assert_true(rp_picture_settled(&s->nodes[sim_leader(s)].node->picture));
+    assert_true(rp_cluster_settled(&s->nodes[sim_leader(s)].node->cluster));
     sim_run(s, 120);
     assert_string_equal(s->broken, "");
     assert_true(sim_all_over(s));
@@ -291,7 +291,7 @@
                                     .respond = keep_answer}};
     rp_node_client_request(n, &a.req);
     assert_int_equal(a.status, 200); /* if it is there, it learns the token and comes again */
-    assert_null(rp_machine_find(&n->picture, "vm-ghost"));
+    assert_null(rp_machine_find(&n->cluster, "vm-ghost"));
     sim_free(s);
 }
 
@@ -421,12 +421,12 @@
     sim_submit(s, 1, "sweep", 40, 1, 8, 0);
     sim_submit(s, 22, "service", 2, 1, 0, 100);
     sim_run(s, 32);
-    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->cluster.first; m; m = m->next)
         with_image += m->n_images > 0;
     assert_true(with_image >= 3);
     sim_crash(s, sim_leader(s), 0.3);
     sim_run(s, 2);
-    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = s->nodes[sim_leader(s)].node->cluster.first; m; m = m->next)
         still += m->n_images > 0;
     assert_int_equal(still, with_image);
     sim_free(s);
@@ -470,7 +470,7 @@
     for (int i = 0; i < 1500; i++) {
         sim_run(s, 0.1);
         const struct rp_node *n = s->nodes[sim_leader(s)].node;
-        for (const struct rp_machine *m = n->picture.first; m; m = m->next) {
+        for (const struct rp_machine *m = n->cluster.first; m; m = m->next) {
             const struct rp_job *job = *m->reserved ? rp_jobs_find(&n->jobs, m->reserved) : NULL;
             if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || m->faulty ||
                 m->noticed || rp_ts_reached(rp_loop_now(n->loop), m->reserved_until))
@@ -531,7 +531,7 @@
         sim_run(s, 0.1);
         for (int k = 0; sim_leader(s) >= 0 && k < s->size.workers; k++) {
             const struct rp_machine *m =
-                rp_machine_find(&s->nodes[sim_leader(s)].node->picture, s->workers[k].name);
+                rp_machine_find(&s->nodes[sim_leader(s)].node->cluster, s->workers[k].name);
             assert_true(!m || !m->faulty);
         }
     }
@@ -707,7 +707,7 @@
     sim_run(s, 19.9);
     int leader = sim_leader(s);
     const struct rp_node *n = s->nodes[leader].node;
-    const struct rp_machine *m = rp_machine_find(&n->picture, w->name);
+    const struct rp_machine *m = rp_machine_find(&n->cluster, w->name);
     assert_true(m && m->state == RP_MACHINE_LOST);
     for (int i = 0; i < 20; i++) {
         sim_run(s, 0.02);
@@ -746,13 +746,13 @@
     const struct rp_node *n = s->nodes[sim_leader(s)].node;
     assert_true(rp_fleet_zone_out(&n->fleet, 0));
     int lost = 0;
-    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = n->cluster.first; m; m = m->next)
         lost += m->zone == 0 && m->state == RP_MACHINE_LOST;
     assert_int_equal(lost, before);
     s->cut_zone = 0;
     sim_run(s, 14);
     assert_false(rp_fleet_zone_out(&n->fleet, 0));
-    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = n->cluster.first; m; m = m->next)
         in_zone += m->zone == 0 && m->state == RP_MACHINE_UP && m->session > 1;
     assert_int_equal(in_zone, before);
     sim_run(s, 200);
@@ -773,7 +773,7 @@
 static int machines_in(const struct sim *s, enum rp_machine_state state) {
     int n = 0;
     const struct rp_node *node = s->nodes[sim_leader(s)].node;
-    for (const struct rp_machine *m = node->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = node->cluster.first; m; m = m->next)
         n += m->state == state;
     return n;
 }
@@ -809,7 +809,7 @@
     unsigned long reads = s->n_state_reads, polls = s->n_polls, looks = n->round.n_looks;
     unsigned long rounds = n->round.n_rounds;
     sim_run(s, 8);
-    for (const struct rp_machine *m = n->picture.first; m; m = m->next)
+    for (const struct rp_machine *m = n->cluster.first; m; m = m->next)
         assert_false(rp_machine_deaf(m));
     assert_true(s->n_idle >= 500);
     /* A task's exit is reported after up to 0.5 s and what follows it starts with the answer. */
@@ -843,7 +843,7 @@
     assert_true(s->n_state_lists - lists <= 3); /* jobs, progress, rentals: a page each */
     assert_true(s->n_rows_read - rows <= 2 * records);
     sim_run(s, 6);
-    assert_true(rp_picture_settled(&s->nodes[sim_leader(s)].node->picture));
+    assert_true(rp_cluster_settled(&s->nodes[sim_leader(s)].node->cluster));
     assert_int_equal(kept_sessions(s), sessions);
     assert_true(machines_in(s, RP_MACHINE_UP) >= before - 5);
     assert_true(s->next_machine <= rented + 20);
