--- a/src/cluster.c
+++ b/src/cluster.c
@@ -17,7 +17,7 @@
 }
 
 static void machine_free(struct rp_machine *m) {
-    free(m->places);
+    free(m->allocations);
     free(m->foreign);
     free(m->images);
     free(m);
@@ -107,7 +107,7 @@
     if (state == RP_MACHINE_LOST) {
         m->lost_since = now;
         m->lost_session = m->session;
-        rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_places);
+        rp_info("machine %s lost: silent beyond its lease, places=%zu", m->name, m->n_allocations);
         rp_machine_session_over(p, m);
     }
     m->state = state;
@@ -139,8 +139,8 @@
 }
 
 void rp_machine_session_over(struct rp_cluster *p, struct rp_machine *m) {
-    while (m->n_places > 0)
-        rp_place_drop(p, m, m->n_places - 1);
+    while (m->n_allocations > 0)
+        rp_allocation_drop(p, m, m->n_allocations - 1);
     /* What it has fetched stays on its disk: a cut or a hang takes the tasks, not the images. */
     rp_machine_clear_foreign(p, m);
 }
@@ -205,8 +205,8 @@
     return true;
 }
 
-static bool counts(enum rp_place_state state) {
-    return state != RP_PLACE_EXITED;
+static bool counts(enum rp_allocation_state state) {
+    return state != RP_ALLOCATION_EXITED;
 }
 
 struct rp_resources rp_machine_free(const struct rp_cluster *p, const struct rp_machine *m) {
@@ -214,12 +214,12 @@
     if (m->type < 0)
         return room;
     room = p->catalog->types[m->type].capacity;
-    for (size_t i = 0; i < m->n_places; i++) {
-        if (!counts(m->places[i].state))
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        if (!counts(m->allocations[i].state))
             continue;
-        room.cpus -= m->places[i].job->spec.each.cpus;
-        room.gpus -= m->places[i].job->spec.each.gpus;
-        room.memory_gb -= m->places[i].job->spec.each.memory_gb;
+        room.cpus -= m->allocations[i].job->spec.each.cpus;
+        room.gpus -= m->allocations[i].job->spec.each.gpus;
+        room.memory_gb -= m->allocations[i].job->spec.each.memory_gb;
     }
     return room;
 }
@@ -262,8 +262,8 @@
 }
 
 bool rp_machine_idle(const struct rp_machine *m) {
-    for (size_t i = 0; i < m->n_places; i++)
-        if (m->places[i].state != RP_PLACE_EXITED || !m->places[i].direct)
+    for (size_t i = 0; i < m->n_allocations; i++)
+        if (m->allocations[i].state != RP_ALLOCATION_EXITED || !m->allocations[i].direct)
             return false;
     return m->n_foreign == 0;
 }
@@ -293,17 +293,18 @@
                                const struct rp_machine *m, const struct rp_freed *freed) {
     struct rp_resources room = rp_machine_free(p, m), over = rp_cluster_over_quota(p, job);
     rp_resources_add(&room, &freed->room);
-    return job->state == RP_JOB_OPEN && task < job->spec.n_tasks && rp_job_places(job, task) == 0 &&
-           !rp_job_task_done(job, task) && rp_machine_usable(m) && rp_cluster_job_settled(p, job) &&
+    return job->state == RP_JOB_OPEN && task < job->spec.n_tasks &&
+           rp_job_allocations(job, task) == 0 && !rp_job_task_done(job, task) &&
+           rp_machine_usable(m) && rp_cluster_job_settled(p, job) &&
            rp_cluster_allows(p, &job->spec, m->type, m->zone, m->spot) && zone_fits(job, m->zone) &&
            rp_resources_fit(&job->spec.each, &room) && over.cpus <= freed->team.cpus &&
            over.gpus <= freed->team.gpus;
 }
 
-static void count_place(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
-                        int sign) {
-    struct rp_job *job = place->job;
-    rp_job_count_place(job, place->task, sign);
+static void count_allocation(struct rp_cluster *p, struct rp_machine *m,
+                             struct rp_allocation *allocation, int sign) {
+    struct rp_job *job = allocation->job;
+    rp_job_count_allocation(job, allocation->task, sign);
     if (m->zone >= 0)
         job->zone_count[m->zone] += (uint32_t)sign;
     if (job->team >= 0) {
@@ -311,77 +312,78 @@
         p->team_gpus[job->team] += sign * job->spec.each.gpus;
     }
     /* What was handed back may be started again from the first such task on. */
-    if (sign < 0 && place->task < job->cursor)
-        job->cursor = place->task;
+    if (sign < 0 && allocation->task < job->cursor)
+        job->cursor = allocation->task;
 }
 
-static void set_running(struct rp_place *place, bool running) {
-    bool was = place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING;
+static void set_running(struct rp_allocation *allocation, bool running) {
+    bool was = allocation->state == RP_ALLOCATION_SEEN && allocation->task_state == RP_TASK_RUNNING;
     if (was != running)
-        place->job->n_running += running ? 1 : (uint32_t)-1;
+        allocation->job->n_running += running ? 1 : (uint32_t)-1;
 }
 
-struct rp_place *rp_place_add(struct rp_cluster *p, struct rp_machine *m, struct rp_job *job,
-                              uint32_t task, uint64_t attempt, enum rp_place_state state) {
-    if (m->n_places == m->cap_places) {
-        size_t cap = m->cap_places ? m->cap_places * 2 : 16;
-        struct rp_place *places = realloc(m->places, cap * sizeof *places);
-        if (!places)
+struct rp_allocation *rp_allocation_add(struct rp_cluster *p, struct rp_machine *m,
+                                        struct rp_job *job, uint32_t task, uint64_t attempt,
+                                        enum rp_allocation_state state) {
+    if (m->n_allocations == m->cap_allocations) {
+        size_t cap = m->cap_allocations ? m->cap_allocations * 2 : 16;
+        struct rp_allocation *allocations = realloc(m->allocations, cap * sizeof *allocations);
+        if (!allocations)
             abort();
-        m->places = places;
-        m->cap_places = cap;
+        m->allocations = allocations;
+        m->cap_allocations = cap;
     }
-    struct rp_place *place = &m->places[m->n_places++];
-    *place = (struct rp_place){.job = job,
-                               .task = task,
-                               .attempt = attempt,
-                               .state = state,
-                               .task_state = RP_TASK_FETCHING,
-                               .since = rp_loop_now(p->loop)};
+    struct rp_allocation *allocation = &m->allocations[m->n_allocations++];
+    *allocation = (struct rp_allocation){.job = job,
+                                         .task = task,
+                                         .attempt = attempt,
+                                         .state = state,
+                                         .task_state = RP_TASK_FETCHING,
+                                         .since = rp_loop_now(p->loop)};
     job->n_refs++;
     if (counts(state))
-        count_place(p, m, place, 1);
-    return place;
+        count_allocation(p, m, allocation, 1);
+    return allocation;
 }
 
-void rp_place_enter(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
-                    enum rp_place_state state) {
-    if (place->state == state)
+void rp_allocation_enter(struct rp_cluster *p, struct rp_machine *m,
+                         struct rp_allocation *allocation, enum rp_allocation_state state) {
+    if (allocation->state == state)
         return;
-    set_running(place, false);
-    if (counts(place->state) && !counts(state))
-        count_place(p, m, place, -1);
-    place->state = state;
-}
-
-void rp_place_drop(struct rp_cluster *p, struct rp_machine *m, size_t index) {
-    struct rp_place *place = &m->places[index];
-    struct rp_job *job = place->job;
-    set_running(place, false);
-    if (counts(place->state))
-        count_place(p, m, place, -1);
-    m->places[index] = m->places[--m->n_places];
+    set_running(allocation, false);
+    if (counts(allocation->state) && !counts(state))
+        count_allocation(p, m, allocation, -1);
+    allocation->state = state;
+}
+
+void rp_allocation_drop(struct rp_cluster *p, struct rp_machine *m, size_t index) {
+    struct rp_allocation *allocation = &m->allocations[index];
+    struct rp_job *job = allocation->job;
+    set_running(allocation, false);
+    if (counts(allocation->state))
+        count_allocation(p, m, allocation, -1);
+    m->allocations[index] = m->allocations[--m->n_allocations];
     rp_jobs_release(p->jobs, job);
 }
 
-void rp_place_stop(struct rp_place *place, double grace_s) {
-    if (place->stop && place->grace_s <= grace_s)
+void rp_allocation_stop(struct rp_allocation *allocation, double grace_s) {
+    if (allocation->stop && allocation->grace_s <= grace_s)
         return;
-    place->stop = true;
-    place->grace_s = grace_s;
-    place->stop_sent = (struct timespec){0};
+    allocation->stop = true;
+    allocation->grace_s = grace_s;
+    allocation->stop_sent = (struct timespec){0};
 }
 
 void rp_cluster_stop_job(struct rp_cluster *p, struct rp_job *job, double grace_s) {
     for (struct rp_machine *m = p->first; m; m = m->next)
-        for (size_t i = m->n_places; i-- > 0;) {
-            struct rp_place *place = &m->places[i];
-            if (place->job != job)
+        for (size_t i = m->n_allocations; i-- > 0;) {
+            struct rp_allocation *allocation = &m->allocations[i];
+            if (allocation->job != job)
                 continue;
-            if (place->state == RP_PLACE_PLANNED)
-                rp_place_drop(p, m, i);
-            else if (place->state != RP_PLACE_EXITED)
-                rp_place_stop(place, grace_s);
+            if (allocation->state == RP_ALLOCATION_PLANNED)
+                rp_allocation_drop(p, m, i);
+            else if (allocation->state != RP_ALLOCATION_EXITED)
+                rp_allocation_stop(allocation, grace_s);
         }
 }
 
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -15,18 +15,18 @@
     RP_MACHINE_RETURNING /* the cloud is being told; never used again */
 };
 
-enum rp_place_state {
-    RP_PLACE_PLANNED, /* no command has been sent: can be dropped at once */
-    RP_PLACE_SENT,    /* the start is in a report's answer; a newer report settles it */
-    RP_PLACE_SEEN,    /* in the machine's newest report */
-    RP_PLACE_EXITED   /* reported as exited: no longer on the machine, to be forgotten */
+enum rp_allocation_state {
+    RP_ALLOCATION_PLANNED, /* no command has been sent: can be dropped at once */
+    RP_ALLOCATION_SENT,    /* the start is in a report's answer; a newer report settles it */
+    RP_ALLOCATION_SEEN,    /* in the machine's newest report */
+    RP_ALLOCATION_EXITED   /* reported as exited: no longer on the machine, to be forgotten */
 };
 
-struct rp_place {
+struct rp_allocation {
     struct rp_job *job;
     uint32_t task;
     uint64_t attempt;
-    enum rp_place_state state;
+    enum rp_allocation_state state;
     enum rp_task_state task_state;
     enum rp_exit why;
     uint64_t sent_seq;       /* number of the report whose answer carried the start */
@@ -63,8 +63,8 @@
 struct rp_machine {
     char name[RP_TEXT_MAX], addr[RP_TEXT_MAX];
     enum rp_machine_state state;
-    int type; /* place in the catalog; -1: a type that it doesn't have */
-    int zone; /* place in the catalog's zones; -1: unknown */
+    int type; /* index in the catalog; -1: a type that it doesn't have */
+    int zone; /* index in the catalog's zones; -1: unknown */
     bool spot;
     bool recorded;    /* its name is durable */
     bool up_recorded; /* and that it is up: only then may starts go to it */
@@ -88,8 +88,8 @@
     uint64_t lost_session; /* the session that it was lost in, 0: none that this leader heard of */
     struct timespec
         deaf_since; /* its reports come, but our answers don't reach it; zero: they do */
-    struct rp_place *places;
-    size_t n_places, cap_places;
+    struct rp_allocation *allocations;
+    size_t n_allocations, cap_allocations;
     struct rp_foreign *foreign;
     size_t n_foreign;
     struct rp_image *images;
@@ -179,13 +179,14 @@
 /* Nothing is on the machine, nor may be. What has ended may still be listed: attempts that were
  * started directly are kept known there, so that late copies of their starts do nothing. */
 bool rp_machine_idle(const struct rp_machine *m);
-struct rp_place *rp_place_add(struct rp_cluster *p, struct rp_machine *m, struct rp_job *job,
-                              uint32_t task, uint64_t attempt, enum rp_place_state state);
-/* The one place where a place changes its state; keeps all counts. */
-void rp_place_enter(struct rp_cluster *p, struct rp_machine *m, struct rp_place *place,
-                    enum rp_place_state state);
-void rp_place_drop(struct rp_cluster *p, struct rp_machine *m, size_t index);
-void rp_place_stop(struct rp_place *place, double grace_s);
+struct rp_allocation *rp_allocation_add(struct rp_cluster *p, struct rp_machine *m,
+                                        struct rp_job *job, uint32_t task, uint64_t attempt,
+                                        enum rp_allocation_state state);
+/* The one place where an allocation changes its state; keeps all counts. */
+void rp_allocation_enter(struct rp_cluster *p, struct rp_machine *m,
+                         struct rp_allocation *allocation, enum rp_allocation_state state);
+void rp_allocation_drop(struct rp_cluster *p, struct rp_machine *m, size_t index);
+void rp_allocation_stop(struct rp_allocation *allocation, double grace_s);
 /* Wants every task of the job stopped, wherever it may be. */
 void rp_cluster_stop_job(struct rp_cluster *p, struct rp_job *job, double grace_s);
 /* Images are known by the hashes of their names. */
--- a/src/final_states.h
+++ b/src/final_states.h
@@ -6,7 +6,7 @@
 
 #include "model.h"
 
-#define RP_FINAL_STATES_KEPT 4096 /* a later job takes the place of one with the same hash */
+#define RP_FINAL_STATES_KEPT 4096 /* a later job takes the position of one with the same hash */
 
 struct rp_final_state {
     char job[RP_ID_MAX]; /* "" where nothing is kept */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -111,7 +111,7 @@
     /* A zone never changes under a machine's tasks: they are counted by it. */
     if (m->type >= 0 && m->zone >= 0)
         return;
-    if (m->n_places > 0)
+    if (m->n_allocations > 0)
         return;
     m->type = type_index(f->catalog, type);
     m->zone = zone_index(f->catalog, zone);
@@ -697,7 +697,7 @@
     struct rp_catalog *fresh = calloc(1, sizeof *fresh);
     if (fresh && request_current(r) && answer->status == 200 &&
         rp_wire_catalog(answer->body, answer->len, fresh))
-        /* Types keep their places, which machines refer to: only prices are taken over. */
+        /* Types keep their indexes, which machines refer to: only prices are taken over. */
         for (size_t i = 0; i < fresh->n_types; i++) {
             int at = type_index(f->catalog, fresh->types[i].name);
             if (at < 0)
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -173,7 +173,7 @@
     if (state != RP_JOB_CLOSED)
         return;
     t->n_services -= job->spec.kind == RP_SERVICE;
-    /* Dropping the last place frees a closed job: held until the stops are through. */
+    /* Dropping the last allocation frees a closed job: held until the stops are through. */
     job->n_refs++;
     if (t->on_closed)
         t->on_closed(t->arg, job);
@@ -668,11 +668,11 @@
     return job->done[task / 8] >> (task % 8) & 1;
 }
 
-unsigned rp_job_places(const struct rp_job *job, uint32_t task) {
+unsigned rp_job_allocations(const struct rp_job *job, uint32_t task) {
     return job->where ? job->where[task] : 0;
 }
 
-void rp_job_count_place(struct rp_job *job, uint32_t task, int sign) {
+void rp_job_count_allocation(struct rp_job *job, uint32_t task, int sign) {
     if (!job->where)
         job->where = calloc(1, job->spec.n_tasks);
     if (!job->where)
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -50,10 +50,10 @@
     double age_at_known_s;
     int team;
     uint32_t n_done, n_running;
-    uint32_t n_counted;      /* places whose task may be on a machine */
-    uint32_t n_refs;         /* places that point here */
+    uint32_t n_counted;      /* allocations whose task may be on a machine */
+    uint32_t n_refs;         /* allocations that point here */
     uint8_t *done, *durable; /* bit sets over the tasks */
-    uint8_t *where;          /* in how many places each task may be; NULL: in none */
+    uint8_t *where;          /* in how many allocations each task may be; NULL: in none */
     uint32_t zone_count[RP_ZONES_MAX];
     uint32_t cursor;            /* no task below it can be started */
     uint64_t dirty, flushing;   /* bit sets over units of progress */
@@ -129,7 +129,7 @@
                   const struct rp_settings *settings);
 /* Loads everything; `on_loaded` tells the outcome. */
 void rp_jobs_load(struct rp_jobs *t);
-/* Empties the table; every place must have been dropped before. */
+/* Empties the table; every allocation must have been dropped before. */
 void rp_jobs_clear(struct rp_jobs *t);
 struct rp_job *rp_jobs_find(const struct rp_jobs *t, const char *id);
 /* Seconds since the last moment of which the table is known to hold all news. */
@@ -144,10 +144,10 @@
 double rp_job_age_s(const struct rp_job *job, struct timespec now);
 
 bool rp_job_task_done(const struct rp_job *job, uint32_t task);
-/* In how many places the task may be. */
-unsigned rp_job_places(const struct rp_job *job, uint32_t task);
-/* Counts a place more or less; memory is taken only while some task has one. */
-void rp_job_count_place(struct rp_job *job, uint32_t task, int sign);
+/* In how many allocations the task may be. */
+unsigned rp_job_allocations(const struct rp_job *job, uint32_t task);
+/* Counts an allocation more or less; memory is taken only while some task has one. */
+void rp_job_count_allocation(struct rp_job *job, uint32_t task, int sign);
 bool rp_job_task_durable(const struct rp_job *job, uint32_t task);
 /* A worker has reported the task done (of a gang: any task). */
 void rp_jobs_task_done(struct rp_jobs *t, struct rp_job *job, uint32_t task);
--- a/src/loop.c
+++ b/src/loop.c
@@ -32,7 +32,7 @@
 
 static void heap_put(struct rp_loop *loop, size_t at, struct rp_timer *timer) {
     loop->heap[at - 1] = timer;
-    timer->place = at;
+    timer->heap_index = at;
 }
 
 static void heap_up(struct rp_loop *loop, size_t at) {
@@ -62,16 +62,16 @@
 }
 
 void rp_timer_cancel(struct rp_loop *loop, struct rp_timer *timer) {
-    size_t at = timer->place;
+    size_t at = timer->heap_index;
     if (at == 0)
         return;
-    timer->place = 0;
+    timer->heap_index = 0;
     struct rp_timer *last = loop->heap[--loop->n_heap];
     if (last == timer)
         return;
     heap_put(loop, at, last);
     heap_up(loop, at);
-    heap_down(loop, last->place);
+    heap_down(loop, last->heap_index);
 }
 
 int rp_timer_set(struct rp_loop *loop, struct rp_timer *timer, double after_s) {
--- a/src/loop.h
+++ b/src/loop.h
@@ -17,7 +17,7 @@
     struct timespec due;
     rp_timer_fn fn;
     void *arg;
-    size_t place; /* 1-based place in the heap, 0 when not set */
+    size_t heap_index; /* 1-based position in the heap, 0 when not set */
 };
 
 struct rp_watch {
--- a/src/node.c
+++ b/src/node.c
@@ -259,7 +259,7 @@
         run_round(n);
         return true;
     }
-    if (!n->room_timer.place)
+    if (!n->room_timer.heap_index)
         rp_timer_set(n->loop, &n->room_timer, wait);
     return wait > HOLD_MAX_S;
 }
--- a/src/plan.c
+++ b/src/plan.c
@@ -99,7 +99,7 @@
     struct rp_plan *plan;
     struct slot *slots; /* machines, then new ones */
     size_t *group_order, *machine_order;
-    size_t *group_listing, *spare_listing; /* of each group: its places in `listings` */
+    size_t *group_listing, *spare_listing; /* of each group: its indexes in `listings` */
     struct listing listings[LISTINGS_MAX];
     size_t n_listings;
     bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
@@ -154,14 +154,14 @@
     return share;
 }
 
-static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t place,
+static double group_key(const struct rp_plan_group *g, enum rp_job_order order, size_t position,
                         const struct rp_resources *fleet, double weight) {
     double size = g->each.cpus + 8 * g->each.gpus + g->each.memory_gb / 8;
     switch (order) {
     case RP_FCFS:
         return -g->age_s;
     case RP_RR:
-        return (double)place; /* the input alternates between teams */
+        return (double)position; /* the input alternates between teams */
     case RP_LJF:
         return -size;
     case RP_SJF:
@@ -835,7 +835,7 @@
 }
 
 /* A gang of one zone may fit in one zone and not in another: each is tried. True once all of it has
- * its place. */
+ * its room. */
 static bool place_gang_in(struct run *r, struct placing *pl, bool now) {
     size_t fresh = r->plan->n_fresh;
     int zones = pl->g->one_zone && pl->zone < 0 ? RP_ZONES_MAX : 1;
@@ -985,7 +985,7 @@
 bool rp_plan_better(const struct rp_plan *a, const struct rp_plan *b) {
     if (a->failed != b->failed)
         return b->failed;
-    /* Constraint (4) of the paper: every job has its place. Where machines run short, plans are
+    /* Constraint (4) of the paper: every job has its room. Where machines run short, plans are
      * compared first by what they leave without one. */
     if (fabs(a->left - b->left) > EPS * (1 + fabs(b->left)))
         return a->left < b->left;
--- a/src/plan.h
+++ b/src/plan.h
@@ -121,7 +121,7 @@
     size_t group;
     size_t machine; /* from n_machines on: new ones */
     uint32_t count;
-    bool now; /* false: holds the place, the machine has no room yet */
+    bool now; /* false: holds the room, the machine has no room yet */
 };
 
 struct rp_plan {
@@ -131,7 +131,7 @@
     size_t n_fresh, cap_fresh;
     uint32_t n_now, n_wait;
     bool short_of_room[2]; /* work without GPUs, and with: not all of it can be in time */
-    double left;           /* work that found no place, weighed by priority */
+    double left;           /* work that found no room, weighed by priority */
     double cost;           /* formula (1) */
     unsigned long n_looks; /* machines looked at, over all groups */
     bool failed;           /* out of memory */
@@ -139,8 +139,8 @@
 
 void rp_plan_free(struct rp_plan *plan);
 void rp_plan_by(const struct rp_plan_input *in, struct rp_heuristic h, struct rp_plan *out);
-/* The portfolio: the plan that leaves least undone, and of these the cheapest. Returns the place
- * of the winner in `hs`. */
+/* The portfolio: the plan that leaves least undone, and of these the cheapest. Returns the index of
+ * the winner in `hs`. */
 size_t rp_plan_best(const struct rp_plan_input *in, const struct rp_heuristic *hs, size_t n,
                     struct rp_plan *out);
 /* The part of the machine that a task takes, by the resource of which it takes most. */
--- a/src/records.h
+++ b/src/records.h
@@ -47,7 +47,7 @@
 json_t *rp_record_mark(json_t *v);
 size_t rp_record_size(const json_t *v);
 /* Cuts a record into pieces of at most `most` bytes; returns how many, 0 if `max` aren't enough.
- * The first takes the record's place and tells how many others there are. */
+ * The first takes the record's key and tells how many others there are. */
 size_t rp_record_cut(const json_t *record, size_t most, json_t **pieces, size_t max);
 /* How many other pieces belong to this one; 0: it is whole. */
 size_t rp_record_parts(const json_t *v);
--- a/src/room.c
+++ b/src/room.c
@@ -59,23 +59,23 @@
 struct attempt {
     uint64_t number;
     bool begun;            /* some task runs, saves or is being stopped */
-    struct timespec since; /* when its first place was planned */
+    struct timespec since; /* when its first allocation was planned */
 };
 
 static struct attempt attempt_of(const struct rp_round *r, const struct rp_job *job) {
     struct attempt a = {0};
     for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++) {
-            const struct rp_place *place = &m->places[i];
-            if (place->job != job || place->state == RP_PLACE_EXITED)
+        for (size_t i = 0; i < m->n_allocations; i++) {
+            const struct rp_allocation *allocation = &m->allocations[i];
+            if (allocation->job != job || allocation->state == RP_ALLOCATION_EXITED)
                 continue;
             /* Of two attempts at once the older one is ending: nothing can join it. */
-            a.begun |=
-                place->stop || (a.number && place->attempt != a.number) ||
-                (place->task_state != RP_TASK_FETCHING && place->task_state != RP_TASK_WAITING);
-            if (!a.number || rp_ts_cmp(place->since, a.since) < 0)
-                a.since = place->since;
-            a.number = place->attempt;
+            a.begun |= allocation->stop || (a.number && allocation->attempt != a.number) ||
+                       (allocation->task_state != RP_TASK_FETCHING &&
+                        allocation->task_state != RP_TASK_WAITING);
+            if (!a.number || rp_ts_cmp(allocation->since, a.since) < 0)
+                a.since = allocation->since;
+            a.number = allocation->attempt;
         }
     return a;
 }
@@ -85,9 +85,9 @@
 static struct rp_machine *left_on(const struct rp_round *r, const struct rp_job *job, uint32_t task,
                                   uint64_t attempt) {
     for (struct rp_machine *m = r->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++)
-            if (m->places[i].job == job && m->places[i].task == task &&
-                m->places[i].attempt == attempt)
+        for (size_t i = 0; i < m->n_allocations; i++)
+            if (m->allocations[i].job == job && m->allocations[i].task == task &&
+                m->allocations[i].attempt == attempt)
                 return m;
     return NULL;
 }
@@ -112,7 +112,7 @@
             break;
     }
     if (best)
-        rp_place_add(r->cluster, best, job, task, attempt, RP_PLACE_PLANNED);
+        rp_allocation_add(r->cluster, best, job, task, attempt, RP_ALLOCATION_PLANNED);
 }
 
 /* A gang whose tasks still fetch their image or wait for one another is completed by a new start
@@ -127,7 +127,7 @@
         return;
     }
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
-        if (rp_job_places(job, task) == 0)
+        if (rp_job_allocations(job, task) == 0)
             replace_task(r, job, task, a.number);
 }
 
@@ -142,9 +142,9 @@
 
 /* ---- room for higher priorities ---- */
 
-static bool may_stop(const struct rp_place *place, enum rp_priority above) {
-    return place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
-           place->job->spec.priority < above;
+static bool may_stop(const struct rp_allocation *allocation, enum rp_priority above) {
+    return allocation->state != RP_ALLOCATION_EXITED && allocation->job->spec.kind == RP_ARRAY &&
+           allocation->job->spec.priority < above;
 }
 
 /* Work that is lost, and that is kept waiting, if the machine's lower tasks are stopped for one
@@ -153,17 +153,17 @@
                          const struct rp_job *job, struct timespec now) {
     struct rp_resources room = rp_machine_free(r->cluster, m);
     double price = 1;
-    for (size_t i = 0; i < m->n_places && !rp_resources_fit(&job->spec.each, &room); i++) {
-        const struct rp_place *place = &m->places[i];
-        if (!may_stop(place, job->spec.priority))
+    for (size_t i = 0; i < m->n_allocations && !rp_resources_fit(&job->spec.each, &room); i++) {
+        const struct rp_allocation *allocation = &m->allocations[i];
+        if (!may_stop(allocation, job->spec.priority))
             continue;
-        rp_resources_add(&room, &place->job->spec.each);
+        rp_resources_add(&room, &allocation->job->spec.each);
         /* What is being stopped already costs nothing more: so a second look chooses the same
          * machine again, and not one more. */
-        if (place->stop)
+        if (allocation->stop)
             continue;
-        double ran = place->running.tv_sec ? rp_ts_since(now, place->running) : 0;
-        price += place->job->spec.checkpoint_s > 0 ? fmin(ran, 5) : ran;
+        double ran = allocation->running.tv_sec ? rp_ts_since(now, allocation->running) : 0;
+        price += allocation->job->spec.checkpoint_s > 0 ? fmin(ran, 5) : ran;
     }
     return rp_resources_fit(&job->spec.each, &room) ? price : -1;
 }
@@ -172,22 +172,22 @@
     struct rp_resources room = rp_machine_free(r->cluster, m);
     unsigned stopped = 0;
     double longest = 0;
-    for (size_t i = 0; i < m->n_places; i++)
-        if (m->places[i].stop && may_stop(&m->places[i], job->spec.priority))
-            rp_resources_add(&room, &m->places[i].job->spec.each);
-    for (size_t i = m->n_places; i-- > 0 && !rp_resources_fit(&job->spec.each, &room);) {
-        struct rp_place *place = &m->places[i];
-        if (place->stop || !may_stop(place, job->spec.priority))
+    for (size_t i = 0; i < m->n_allocations; i++)
+        if (m->allocations[i].stop && may_stop(&m->allocations[i], job->spec.priority))
+            rp_resources_add(&room, &m->allocations[i].job->spec.each);
+    for (size_t i = m->n_allocations; i-- > 0 && !rp_resources_fit(&job->spec.each, &room);) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->stop || !may_stop(allocation, job->spec.priority))
             continue;
-        rp_resources_add(&room, &place->job->spec.each);
+        rp_resources_add(&room, &allocation->job->spec.each);
         stopped++;
-        if (place->state == RP_PLACE_PLANNED) {
-            rp_place_drop(r->cluster, m, i);
+        if (allocation->state == RP_ALLOCATION_PLANNED) {
+            rp_allocation_drop(r->cluster, m, i);
             continue;
         }
-        const struct rp_job_spec *spec = &place->job->spec;
+        const struct rp_job_spec *spec = &allocation->job->spec;
         double grace = spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0;
-        rp_place_stop(place, grace);
+        rp_allocation_stop(allocation, grace);
         longest = fmax(longest, grace);
         r->n_preempted++;
     }
@@ -245,7 +245,7 @@
 }
 
 /* Only gangs of one task are given room this way, one machine at a time: what is stopped for a
- * larger gang would stand empty until the last of its places is free. */
+ * larger gang would stand empty until the last of its machines is free. */
 void rp_room_preempt(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
                      struct timespec now) {
     if (!r->settings->tuning.preemption || !rp_cluster_settled(r->cluster))
@@ -342,7 +342,8 @@
             longest);
 }
 
-/* Whether the plan has places for all of the gang, either now or on machines still to come up. */
+/* Whether the plan has room for all of the gang, either now or on machines still to come up.
+ */
 static bool gang_served(const struct rp_round_input *x, const struct rp_plan *plan, size_t group) {
     bool all_now = true, fresh = false;
     size_t puts = 0;
@@ -402,10 +403,10 @@
     return chosen;
 }
 
-/* Plans place a gang whole or not at all, and what falls free meanwhile is taken by work that needs
- * less: on a full fleet a gang of several whole machines would never find them free together. The
- * machines that can be free soonest are kept for one gang at a time; all of them at once, so that
- * no two gangs hold a part each of what both need, and for a bounded time. */
+/* Plans place a gang whole or not at all, and what falls free meanwhile is taken by work that
+ * needs less: on a full fleet a gang of several whole machines would never find them free together.
+ * The machines that can be free soonest are kept for one gang at a time; all of them at once, so
+ * that no two gangs hold a part each of what both need, and for a bounded time. */
 void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
                     struct timespec now) {
     struct candidate *list = calloc(x->in.n_machines + 1, sizeof *list);
@@ -422,21 +423,22 @@
 
 /* A task that keeps its progress when stopped, or a replica, which has none; and whose start counts
  * already. */
-static bool movable(const struct rp_place *place, struct timespec now) {
-    const struct rp_job_spec *spec = &place->job->spec;
+static bool movable(const struct rp_allocation *allocation, struct timespec now) {
+    const struct rp_job_spec *spec = &allocation->job->spec;
     bool keeps = spec->kind == RP_SERVICE || (spec->checkpoint_s > 0 && spec->kind == RP_ARRAY);
-    return place->state == RP_PLACE_SEEN && place->task_state == RP_TASK_RUNNING && !place->stop &&
-           keeps &&
-           rp_ts_since(now, place->running) >
+    return allocation->state == RP_ALLOCATION_SEEN && allocation->task_state == RP_TASK_RUNNING &&
+           !allocation->stop && keeps &&
+           rp_ts_since(now, allocation->running) >
                (spec->kind == RP_SERVICE ? MOVE_AGAIN_S : START_COUNTS_S);
 }
 
-/* Until the place is free by itself. */
+/* Until the allocation is free by itself. */
 static double stays_s(const struct rp_round *r, const struct rp_machine *m,
-                      const struct rp_place *place, struct timespec now) {
-    if (place->state == RP_PLACE_EXITED)
+                      const struct rp_allocation *allocation, struct timespec now) {
+    if (allocation->state == RP_ALLOCATION_EXITED)
         return 0;
-    return place->job->spec.kind == RP_SERVICE ? STAYS_S : rp_place_left_s(r, m, place, now);
+    return allocation->job->spec.kind == RP_SERVICE ? STAYS_S
+                                                    : rp_allocation_left_s(r, m, allocation, now);
 }
 
 /* The room of every machine, in the order of the cluster's list, as it is used up by tasks that are
@@ -458,22 +460,22 @@
 /* The machine that has to be kept least longer for a task that moves to it; -1 when none has room.
  */
 static double cheapest_move(const struct rp_round *r, const struct rooms *rooms,
-                            const struct rp_machine *from, const struct rp_place *place,
+                            const struct rp_machine *from, const struct rp_allocation *allocation,
                             size_t *where, struct timespec now) {
-    double left = stays_s(r, from, place, now) + MOVE_S + place->job->spec.save_s;
+    double left = stays_s(r, from, allocation, now) + MOVE_S + allocation->job->spec.save_s;
     double best = -1;
     size_t at = 0;
     for (const struct rp_machine *o = r->cluster->first; o; o = o->next, at++) {
         if (o == from || rooms->source[at] || !rp_machine_usable(o) || rp_room_reserved_for(r, o) ||
             rp_machine_idle(o) ||
-            !rp_cluster_allows(r->cluster, &place->job->spec, o->type, o->zone, o->spot) ||
-            !zone_takes(from, o, place->job) ||
-            !rp_resources_fit(&place->job->spec.each, &rooms->free[at]) ||
-            !rp_machine_has_image(o, place->job->image_hash))
+            !rp_cluster_allows(r->cluster, &allocation->job->spec, o->type, o->zone, o->spot) ||
+            !zone_takes(from, o, allocation->job) ||
+            !rp_resources_fit(&allocation->job->spec.each, &rooms->free[at]) ||
+            !rp_machine_has_image(o, allocation->job->image_hash))
             continue;
         double busy = 0;
-        for (size_t k = 0; k < o->n_places; k++)
-            busy = fmax(busy, stays_s(r, o, &o->places[k], now));
+        for (size_t k = 0; k < o->n_allocations; k++)
+            busy = fmax(busy, stays_s(r, o, &o->allocations[k], now));
         double more = fmax(0, left - busy) * rp_fleet_price(rp_round_catalog(r), o->type, o->spot);
         if (best < 0 || more < best) {
             best = more;
@@ -488,24 +490,24 @@
 static double move_price(const struct rp_round *r, struct rooms *rooms, const struct rp_machine *m,
                          struct timespec now) {
     double price = 0;
-    size_t *to = calloc(m->n_places + 1, sizeof *to), n = 0;
+    size_t *to = calloc(m->n_allocations + 1, sizeof *to), n = 0;
     if (!to)
         return -1;
-    for (; n < m->n_places && price >= 0; n++) {
+    for (; n < m->n_allocations && price >= 0; n++) {
         to[n] = rooms->n;
-        if (m->places[n].state == RP_PLACE_EXITED)
+        if (m->allocations[n].state == RP_ALLOCATION_EXITED)
             continue;
-        double more = cheapest_move(r, rooms, m, &m->places[n], &to[n], now);
+        double more = cheapest_move(r, rooms, m, &m->allocations[n], &to[n], now);
         if (more < 0) {
             price = -1;
             break;
         }
-        rp_resources_sub(&rooms->free[to[n]], &m->places[n].job->spec.each);
+        rp_resources_sub(&rooms->free[to[n]], &m->allocations[n].job->spec.each);
         price = fmax(price, more);
     }
     for (size_t i = 0; price < 0 && i < n; i++)
         if (to[i] < rooms->n)
-            rp_resources_add(&rooms->free[to[i]], &m->places[i].job->spec.each);
+            rp_resources_add(&rooms->free[to[i]], &m->allocations[i].job->spec.each);
     free(to);
     return price;
 }
@@ -527,14 +529,14 @@
     const struct rp_resources *capacity = &rp_round_catalog(r)->types[m->type].capacity;
     bool ready = capacity->gpus <= 0 && !m->spot;
     double replicas = 0;
-    for (size_t i = 0; i < m->n_places; i++) {
-        if (m->places[i].state == RP_PLACE_EXITED)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        if (m->allocations[i].state == RP_ALLOCATION_EXITED)
             continue;
-        if (!movable(&m->places[i], now))
+        if (!movable(&m->allocations[i], now))
             return -1;
-        busy = fmax(busy, stays_s(r, m, &m->places[i], now));
-        if (m->places[i].job->spec.kind == RP_SERVICE)
-            replicas += rp_plan_part(&m->places[i].job->spec.each, capacity);
+        busy = fmax(busy, stays_s(r, m, &m->allocations[i], now));
+        if (m->allocations[i].job->spec.kind == RP_SERVICE)
+            replicas += rp_plan_part(&m->allocations[i].job->spec.each, capacity);
     }
     /* A move is a moment without the replica, and the machine that it frees costs little. */
     if (replicas > MOVE_PART ||
@@ -573,19 +575,19 @@
 
 static void empty_one(struct rp_round *r, struct rooms *rooms, struct rp_machine *m, size_t at,
                       struct timespec now) {
-    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", m->name, m->n_places);
+    rp_info("machine %s is emptied: tasks=%zu fit elsewhere", m->name, m->n_allocations);
     (void)move_price(r, rooms, m, now);
     rooms->source[at] = true;
     m->emptied = true;
-    for (size_t i = 0; i < m->n_places; i++) {
-        const struct rp_job_spec *spec = &m->places[i].job->spec;
-        if (m->places[i].state == RP_PLACE_EXITED)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        const struct rp_job_spec *spec = &m->allocations[i].job->spec;
+        if (m->allocations[i].state == RP_ALLOCATION_EXITED)
             continue;
         /* Replicas are moved one by one (services.c). */
         if (spec->kind == RP_SERVICE)
             r->replicas_moved = now;
         else
-            rp_place_stop(&m->places[i], spec->save_s * 1.2 + 1);
+            rp_allocation_stop(&m->allocations[i], spec->save_s * 1.2 + 1);
     }
 }
 
--- a/src/round.c
+++ b/src/round.c
@@ -48,7 +48,7 @@
 
 static bool next_task(struct rp_job *job, uint32_t *task) {
     for (; job->cursor < job->spec.n_tasks; job->cursor++)
-        if (rp_job_places(job, job->cursor) == 0 && !rp_job_task_done(job, job->cursor)) {
+        if (rp_job_allocations(job, job->cursor) == 0 && !rp_job_task_done(job, job->cursor)) {
             *task = job->cursor;
             return true;
         }
@@ -61,9 +61,9 @@
         uint32_t task;
         if (!next_task(job, &task) || !rp_cluster_may_start(r->cluster, job, task, m))
             return;
-        rp_place_add(r->cluster, m, job, task,
-                     gang_attempt ? gang_attempt : rp_cluster_attempt(r->cluster),
-                     RP_PLACE_PLANNED);
+        rp_allocation_add(r->cluster, m, job, task,
+                          gang_attempt ? gang_attempt : rp_cluster_attempt(r->cluster),
+                          RP_ALLOCATION_PLANNED);
     }
 }
 
@@ -170,13 +170,13 @@
                 continue;
             up += m->state == RP_MACHINE_UP;
             booting += m->state == RP_MACHINE_BOOTING;
-            idle += m->state == RP_MACHINE_UP && m->n_places == 0;
+            idle += m->state == RP_MACHINE_UP && m->n_allocations == 0;
             total += m->state == RP_MACHINE_UP ? main_of(&c->types[t].capacity) : 0;
-            for (size_t i = 0; i < m->n_places; i++)
-                if (m->places[i].state != RP_PLACE_EXITED)
-                    by[m->places[i].task_state] += c->types[t].capacity.gpus > 0
-                                                       ? m->places[i].job->spec.each.gpus
-                                                       : m->places[i].job->spec.each.cpus;
+            for (size_t i = 0; i < m->n_allocations; i++)
+                if (m->allocations[i].state != RP_ALLOCATION_EXITED)
+                    by[m->allocations[i].task_state] += c->types[t].capacity.gpus > 0
+                                                            ? m->allocations[i].job->spec.each.gpus
+                                                            : m->allocations[i].job->spec.each.cpus;
         }
         rp_debug("use %s: up=%u idle=%u booting=%u capacity=%.0f fetching=%.1f waiting=%.1f "
                  "running=%.1f "
--- a/src/round.h
+++ b/src/round.h
@@ -41,7 +41,7 @@
 /* One round now. */
 void rp_round_run(struct rp_round *r);
 /* Seconds until the task's estimated end. */
-double rp_place_left_s(const struct rp_round *r, const struct rp_machine *m,
-                       const struct rp_place *place, struct timespec now);
+double rp_allocation_left_s(const struct rp_round *r, const struct rp_machine *m,
+                            const struct rp_allocation *allocation, struct timespec now);
 
 #endif
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -52,25 +52,25 @@
     x->in.kinds = x->kinds;
 }
 
-double rp_place_left_s(const struct rp_round *r, const struct rp_machine *m,
-                       const struct rp_place *place, struct timespec now) {
-    const struct rp_job *job = place->job;
+double rp_allocation_left_s(const struct rp_round *r, const struct rp_machine *m,
+                            const struct rp_allocation *allocation, struct timespec now) {
+    const struct rp_job *job = allocation->job;
     double run = rp_jobs_expect_s(r->jobs, job);
-    if (place->stop)
-        return place->grace_s + 1;
+    if (allocation->stop)
+        return allocation->grace_s + 1;
     if (run <= 0) {
         /* No estimate: until the end of the machine's billing unit. */
         double unit = r->settings->tuning.billing_unit_s;
         return unit - fmod(rp_ts_since(now, m->rented), unit);
     }
-    if (place->running.tv_sec == 0) {
+    if (allocation->running.tv_sec == 0) {
         double rate = rp_round_catalog(r)->types[m->type].fetch_gb_per_s;
         bool has = rp_machine_has_image(m, job->image_hash);
         double fetch = has || rate <= 0 ? 0 : job->spec.image_gb / rate;
-        return run + fmax(0.5, fetch - rp_ts_since(now, place->since));
+        return run + fmax(0.5, fetch - rp_ts_since(now, allocation->since));
     }
     /* Work that has outrun its estimate goes on for a while yet: run times have long tails. */
-    double ran = rp_ts_since(now, place->running);
+    double ran = rp_ts_since(now, allocation->running);
     return fmax(run - ran, OVERRUN * ran + 1);
 }
 
@@ -87,15 +87,15 @@
                           struct timespec now) {
     double sum = 0;
     out->ends = ends;
-    for (size_t i = 0; i < m->n_places; i++) {
-        const struct rp_place *place = &m->places[i];
-        if (place->state == RP_PLACE_EXITED)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        const struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state == RP_ALLOCATION_EXITED)
             continue;
-        double left = rp_place_left_s(r, m, place, now);
-        double age = rp_ts_since(now, place->since);
-        bool service = place->job->spec.kind == RP_SERVICE;
+        double left = rp_allocation_left_s(r, m, allocation, now);
+        double age = rp_ts_since(now, allocation->since);
+        bool service = allocation->job->spec.kind == RP_SERVICE;
         out->busy_s = fmax(out->busy_s, left);
-        if (place->job->spec.each.gpus > 0)
+        if (allocation->job->spec.each.gpus > 0)
             out->own_busy_s = fmax(out->own_busy_s, left);
         out->first_arrival_s = fmax(out->first_arrival_s, age);
         out->last_arrival_s = sum == 0 ? age : fmin(out->last_arrival_s, age);
@@ -103,15 +103,15 @@
         /* By formula (1) it ends with its machine's unit, as tasks without an estimate do; but
          * nothing can count on the room. */
         if (service) {
-            out->taken += rp_plan_part(&place->job->spec.each, &out->capacity);
+            out->taken += rp_plan_part(&allocation->job->spec.each, &out->capacity);
             continue;
         }
-        out->work_s += left * rp_plan_part(&place->job->spec.each, &out->capacity);
-        add_end(ends, &out->n_ends, left, &place->job->spec.each);
+        out->work_s += left * rp_plan_part(&allocation->job->spec.each, &out->capacity);
+        add_end(ends, &out->n_ends, left, &allocation->job->spec.each);
         if (left <= out->wait_s)
-            rp_resources_add(&out->later, &place->job->spec.each);
+            rp_resources_add(&out->later, &allocation->job->spec.each);
     }
-    out->mean_arrival_s = m->n_places ? sum / (double)m->n_places : 0;
+    out->mean_arrival_s = m->n_allocations ? sum / (double)m->n_allocations : 0;
 }
 
 /* What a machine's own kind of work leaves even when it fills the machine: beyond what a task that
@@ -124,13 +124,13 @@
         return spare;
     spare = *capacity;
     rp_resources_sub(&spare, own);
-    for (size_t i = 0; i < m->n_places; i++) {
-        const struct rp_place *place = &m->places[i];
-        if (place->state == RP_PLACE_EXITED)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        const struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state == RP_ALLOCATION_EXITED)
             continue;
-        if (place->job->spec.each.gpus <= 0)
-            rp_resources_sub(&spare, &place->job->spec.each);
-        else if (place->task_state == RP_TASK_FETCHING)
+        if (allocation->job->spec.each.gpus <= 0)
+            rp_resources_sub(&spare, &allocation->job->spec.each);
+        else if (allocation->task_state == RP_TASK_FETCHING)
             return (struct rp_resources){0};
     }
     spare.gpus = 0;
@@ -215,17 +215,17 @@
     for (size_t i = 0; i < x->in.n_kinds; i++)
         pending += rp_fleet_pending(r->fleet, x->kinds[i].type, x->kinds[i].zone, x->kinds[i].spot);
     x->machines = calloc(r->cluster->n_machines + pending + 1, sizeof *x->machines);
-    size_t places = 1;
+    size_t allocations = 1;
     for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
-        places += m->n_places;
-    x->ends = calloc(places, sizeof *x->ends);
+        allocations += m->n_allocations;
+    x->ends = calloc(allocations, sizeof *x->ends);
     if (!x->machines || !x->ends)
         return;
     rp_room_mark_held(r);
     for (struct rp_machine *m = r->cluster->first; m; m = m->next)
         if (plannable(r, m, now)) {
             describe_machine(r, m, &x->machines[x->in.n_machines++], &x->ends[x->n_ends], now);
-            x->n_ends += m->n_places;
+            x->n_ends += m->n_allocations;
         }
     /* What has been asked for and not answered yet holds its tasks, too. */
     for (size_t i = 0; i < x->in.n_kinds; i++) {
@@ -367,7 +367,7 @@
     return x < y ? -1 : x > y;
 }
 
-/* The image's place among those that the groups need, or n_images. */
+/* The image's index among those that the groups need, or n_images. */
 static size_t image_index(const struct rp_round_input *x, uint64_t hash) {
     const uint64_t *found = bsearch(&hash, x->images, x->n_images, sizeof hash, by_hash);
     return found ? (size_t)(found - x->images) : x->n_images;
--- a/src/services.c
+++ b/src/services.c
@@ -57,40 +57,41 @@
 
 /* ---- room that lower work gives ---- */
 
-static bool lower(const struct rp_place *place, const struct rp_job *job) {
-    return place->job->spec.kind == RP_ARRAY && place->job->spec.priority < job->spec.priority;
+static bool lower(const struct rp_allocation *allocation, const struct rp_job *job) {
+    return allocation->job->spec.kind == RP_ARRAY &&
+           allocation->job->spec.priority < job->spec.priority;
 }
 
 /* Stopped without time to save: it is over by the time when a start that follows is carried out. */
-static bool going(const struct rp_place *place) {
-    return place->state == RP_PLACE_SEEN && place->stop && place->grace_s <= 0;
+static bool going(const struct rp_allocation *allocation) {
+    return allocation->state == RP_ALLOCATION_SEEN && allocation->stop && allocation->grace_s <= 0;
 }
 
-static bool may_go(const struct rp_place *place, const struct rp_job *job) {
-    return lower(place, job) && !place->stop &&
-           (place->state == RP_PLACE_SEEN || place->state == RP_PLACE_PLANNED);
+static bool may_go(const struct rp_allocation *allocation, const struct rp_job *job) {
+    return lower(allocation, job) && !allocation->stop &&
+           (allocation->state == RP_ALLOCATION_SEEN || allocation->state == RP_ALLOCATION_PLANNED);
 }
 
 /* The work that is lost with it, in seconds. */
-static double worth(const struct rp_place *place, struct timespec now) {
-    double ran = rp_ts_zero(place->running) ? 0 : rp_ts_since(now, place->running);
-    double kept = place->job->spec.checkpoint_s;
-    return place->state == RP_PLACE_PLANNED ? 0 : 1 + (kept > 0 ? fmin(ran, kept) : ran);
+static double worth(const struct rp_allocation *allocation, struct timespec now) {
+    double ran = rp_ts_zero(allocation->running) ? 0 : rp_ts_since(now, allocation->running);
+    double kept = allocation->job->spec.checkpoint_s;
+    return allocation->state == RP_ALLOCATION_PLANNED ? 0 : 1 + (kept > 0 ? fmin(ran, kept) : ran);
 }
 
-static void free_place(struct rp_freed *freed, const struct rp_place *place,
-                       const struct rp_job *job) {
-    rp_resources_add(&freed->room, &place->job->spec.each);
-    if (place->job->team == job->team)
-        rp_resources_add(&freed->team, &place->job->spec.each);
+static void free_allocation(struct rp_freed *freed, const struct rp_allocation *allocation,
+                            const struct rp_job *job) {
+    rp_resources_add(&freed->room, &allocation->job->spec.each);
+    if (allocation->job->team == job->team)
+        rp_resources_add(&freed->team, &allocation->job->spec.each);
 }
 
 /* What stops under way on the machine give back before anything that is started there now. */
 static struct rp_freed freed_already(const struct rp_machine *m, const struct rp_job *job) {
     struct rp_freed freed = {0};
-    for (size_t i = 0; i < m->n_places; i++)
-        if (going(&m->places[i]))
-            free_place(&freed, &m->places[i], job);
+    for (size_t i = 0; i < m->n_allocations; i++)
+        if (going(&m->allocations[i]))
+            free_allocation(&freed, &m->allocations[i], job);
     return freed;
 }
 
@@ -108,43 +109,44 @@
     return quota ? LACK_NOTHING : LACK_QUOTA;
 }
 
-/* The place that costs least to take; where the team's limit is in the way, one of its own. */
-static struct rp_place *cheapest(struct rp_machine *m, const struct rp_job *job, enum lack lack,
-                                 const bool *taken, struct timespec now) {
-    struct rp_place *best = NULL;
+/* The room that costs least to take; where the team's limit is in the way, one of its own. */
+static struct rp_allocation *cheapest(struct rp_machine *m, const struct rp_job *job,
+                                      enum lack lack, const bool *taken, struct timespec now) {
+    struct rp_allocation *best = NULL;
     double best_worth = 0;
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        if ((taken && taken[i]) || !may_go(place, job) ||
-            (lack == LACK_QUOTA && place->job->team != job->team))
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if ((taken && taken[i]) || !may_go(allocation, job) ||
+            (lack == LACK_QUOTA && allocation->job->team != job->team))
             continue;
-        double price = worth(place, now) + 1000.0 * (double)place->job->spec.priority;
+        double price = worth(allocation, now) + 1000.0 * (double)allocation->job->spec.priority;
         if (!best || price < best_worth) {
-            best = place;
+            best = allocation;
             best_worth = price;
         }
     }
     return best;
 }
 
-#define PLACES_MAX 1024
+#define ALLOCATIONS_MAX 1024
 
 /* Seconds of work that are lost if the machine makes room for one task; negative: it can't. */
 static double room_price(const struct rp_services *s, struct rp_machine *m,
                          const struct rp_job *job, struct timespec now) {
     struct rp_freed freed = freed_already(m, job);
-    bool taken[PLACES_MAX] = {false};
+    bool taken[ALLOCATIONS_MAX] = {false};
     enum lack lack = lacking(s, m, job, &freed);
     double price = 0;
-    if (lack != LACK_NOTHING && (!s->settings->tuning.preemption || m->n_places > PLACES_MAX))
+    if (lack != LACK_NOTHING &&
+        (!s->settings->tuning.preemption || m->n_allocations > ALLOCATIONS_MAX))
         return -1;
     for (; lack != LACK_NOTHING; lack = lacking(s, m, job, &freed)) {
-        struct rp_place *place = cheapest(m, job, lack, taken, now);
-        if (!place)
+        struct rp_allocation *allocation = cheapest(m, job, lack, taken, now);
+        if (!allocation)
             return -1;
-        taken[place - m->places] = true;
-        free_place(&freed, place, job);
-        price += worth(place, now);
+        taken[allocation - m->allocations] = true;
+        free_allocation(&freed, allocation, job);
+        price += worth(allocation, now);
     }
     return price;
 }
@@ -154,16 +156,16 @@
                                  const struct rp_job *job, struct timespec now) {
     struct rp_freed freed = freed_already(m, job);
     for (enum lack lack; (lack = lacking(s, m, job, &freed)) != LACK_NOTHING;) {
-        struct rp_place *place = cheapest(m, job, lack, NULL, now);
-        if (!place)
+        struct rp_allocation *allocation = cheapest(m, job, lack, NULL, now);
+        if (!allocation)
             break;
         s->n_made_room++;
-        if (place->state == RP_PLACE_PLANNED) {
-            rp_place_drop(s->cluster, m, (size_t)(place - m->places));
+        if (allocation->state == RP_ALLOCATION_PLANNED) {
+            rp_allocation_drop(s->cluster, m, (size_t)(allocation - m->allocations));
             continue; /* its room is free, and its team's part, as counted anew */
         }
-        rp_place_stop(place, 0);
-        free_place(&freed, place, job);
+        rp_allocation_stop(allocation, 0);
+        free_allocation(&freed, allocation, job);
     }
     return freed;
 }
@@ -179,13 +181,13 @@
     if (rp_machine_has_image(m, job->image_hash) || rate <= 0)
         return 0;
     double own = job->spec.image_gb / rate;
-    for (size_t i = 0; i < m->n_places; i++) {
-        const struct rp_place *place = &m->places[i];
-        if (place->state == RP_PLACE_EXITED || place->task_state != RP_TASK_FETCHING)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        const struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state == RP_ALLOCATION_EXITED || allocation->task_state != RP_TASK_FETCHING)
             continue;
-        uint64_t hash = place->job->image_hash;
+        uint64_t hash = allocation->job->image_hash;
         if (hash == job->image_hash)
-            return fmax(FETCH_LEFT_S, own - rp_ts_since(now, place->since));
+            return fmax(FETCH_LEFT_S, own - rp_ts_since(now, allocation->since));
         bool known = rp_machine_has_image(m, hash);
         for (size_t k = 0; k < n; k++)
             known |= others[k] == hash;
@@ -225,12 +227,12 @@
     bool serves = false;
     double price = fetch_s(s, m, job, now) + lost * LOST_WORK_SHARE;
     unsigned same = 0;
-    for (size_t i = 0; i < m->n_places; i++) {
-        const struct rp_place *place = &m->places[i];
-        if (place->state == RP_PLACE_EXITED)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        const struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state == RP_ALLOCATION_EXITED)
             continue;
-        serves |= place->job->spec.kind == RP_SERVICE;
-        same += place->job == job && same < SAME_MOST;
+        serves |= allocation->job->spec.kind == RP_SERVICE;
+        same += allocation->job == job && same < SAME_MOST;
     }
     price += same * SAME_MACHINE_S + zone_excess(s, job, m->zone) * SAME_ZONE_S;
     for (unsigned i = 0; i < job->n_error_on; i++)
@@ -265,7 +267,8 @@
     struct rp_freed freed = make_room(s, best, job, now);
     if (!rp_cluster_may_start_over(s->cluster, job, task, best, &freed))
         return false;
-    rp_place_add(s->cluster, best, job, task, rp_cluster_attempt(s->cluster), RP_PLACE_PLANNED);
+    rp_allocation_add(s->cluster, best, job, task, rp_cluster_attempt(s->cluster),
+                      RP_ALLOCATION_PLANNED);
     s->n_placed++;
     return true;
 }
@@ -284,12 +287,13 @@
     over.cpus += more * job->spec.each.cpus;
     over.gpus += more * job->spec.each.gpus;
     for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++) {
-            const struct rp_place *place = &m->places[i];
-            if (place->state == RP_PLACE_EXITED || !place->stop || place->job->team != job->team)
+        for (size_t i = 0; i < m->n_allocations; i++) {
+            const struct rp_allocation *allocation = &m->allocations[i];
+            if (allocation->state == RP_ALLOCATION_EXITED || !allocation->stop ||
+                allocation->job->team != job->team)
                 continue;
-            over.cpus -= place->job->spec.each.cpus;
-            over.gpus -= place->job->spec.each.gpus;
+            over.cpus -= allocation->job->spec.each.cpus;
+            over.gpus -= allocation->job->spec.each.gpus;
         }
     return over;
 }
@@ -300,11 +304,11 @@
     struct rp_resources over = quota_lack(s, job);
     while (isfinite(over.cpus) && isfinite(over.gpus) && beyond(&over)) {
         struct rp_machine *from = NULL;
-        struct rp_place *best = NULL;
+        struct rp_allocation *best = NULL;
         for (struct rp_machine *m = s->cluster->first; m; m = m->next) {
-            struct rp_place *place = cheapest(m, job, LACK_QUOTA, NULL, now);
-            if (place && (!best || worth(place, now) < worth(best, now))) {
-                best = place;
+            struct rp_allocation *allocation = cheapest(m, job, LACK_QUOTA, NULL, now);
+            if (allocation && (!best || worth(allocation, now) < worth(best, now))) {
+                best = allocation;
                 from = m;
             }
         }
@@ -314,10 +318,10 @@
         over.cpus -= spec->each.cpus;
         over.gpus -= spec->each.gpus;
         s->n_made_room++;
-        if (best->state == RP_PLACE_PLANNED)
-            rp_place_drop(s->cluster, from, (size_t)(best - from->places));
+        if (best->state == RP_ALLOCATION_PLANNED)
+            rp_allocation_drop(s->cluster, from, (size_t)(best - from->allocations));
         else
-            rp_place_stop(best, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
+            rp_allocation_stop(best, spec->checkpoint_s > 0 ? spec->save_s * 1.2 + 1 : 0);
     }
 }
 
@@ -360,11 +364,12 @@
         if (!rp_machine_usable(m))
             continue;
         double room = rp_machine_free(s->cluster, m).cpus;
-        for (size_t i = 0; i < m->n_places; i++) {
-            const struct rp_place *place = &m->places[i];
-            if (place->state != RP_PLACE_EXITED && place->job->spec.kind == RP_ARRAY &&
-                place->job->spec.priority < RP_PRODUCTION)
-                room += place->job->spec.each.cpus;
+        for (size_t i = 0; i < m->n_allocations; i++) {
+            const struct rp_allocation *allocation = &m->allocations[i];
+            if (allocation->state != RP_ALLOCATION_EXITED &&
+                allocation->job->spec.kind == RP_ARRAY &&
+                allocation->job->spec.priority < RP_PRODUCTION)
+                room += allocation->job->spec.each.cpus;
         }
         cpus += fmax(0, room);
     }
@@ -375,15 +380,16 @@
 
 /* A replica to be started, or one to be stopped, so that it starts elsewhere, that wasn't told yet.
  */
-static bool to_send(const struct rp_place *place) {
-    return place->job->spec.kind == RP_SERVICE &&
-           (place->state == RP_PLACE_PLANNED || (going(place) && rp_ts_zero(place->stop_sent)));
+static bool to_send(const struct rp_allocation *allocation) {
+    return allocation->job->spec.kind == RP_SERVICE &&
+           (allocation->state == RP_ALLOCATION_PLANNED ||
+            (going(allocation) && rp_ts_zero(allocation->stop_sent)));
 }
 
 void rp_services_send(struct rp_services *s) {
     for (struct rp_machine *m = s->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++)
-            if (to_send(&m->places[i])) {
+        for (size_t i = 0; i < m->n_allocations; i++)
+            if (to_send(&m->allocations[i])) {
                 rp_workers_direct(s->workers, m);
                 break;
             }
@@ -393,7 +399,7 @@
     if (!rp_cluster_job_settled(s->cluster, job))
         return;
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
-        if (rp_job_places(job, task) == 0 && !place_task(s, job, task, now)) {
+        if (rp_job_allocations(job, task) == 0 && !place_task(s, job, task, now)) {
             if (s->settings->tuning.preemption)
                 free_quota(s, job, now);
             return;
@@ -421,8 +427,9 @@
 /* ---- replicas that are moved ---- */
 
 static bool holds_replicas(const struct rp_machine *m) {
-    for (size_t i = 0; i < m->n_places; i++)
-        if (m->places[i].state != RP_PLACE_EXITED && m->places[i].job->spec.kind == RP_SERVICE)
+    for (size_t i = 0; i < m->n_allocations; i++)
+        if (m->allocations[i].state != RP_ALLOCATION_EXITED &&
+            m->allocations[i].job->spec.kind == RP_SERVICE)
             return true;
     return false;
 }
@@ -434,16 +441,16 @@
             job->n_running < job->spec.n_tasks)
             return true;
     for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++)
-            if (m->places[i].job->spec.kind == RP_SERVICE && going(&m->places[i]))
+        for (size_t i = 0; i < m->n_allocations; i++)
+            if (m->allocations[i].job->spec.kind == RP_SERVICE && going(&m->allocations[i]))
                 return true;
     return false;
 }
 
 /* Whether the replica could go on at once on another machine. */
 static bool could_go(const struct rp_services *s, const struct rp_machine *from,
-                     const struct rp_place *place, struct timespec now) {
-    struct rp_job *job = place->job;
+                     const struct rp_allocation *allocation, struct timespec now) {
+    struct rp_job *job = allocation->job;
     for (struct rp_machine *m = s->cluster->first; m; m = m->next) {
         bool zone = m->zone == from->zone ||
                     (!job->spec.one_zone && (!job->spec.spread || job->zone_count[m->zone] + 1 <=
@@ -460,12 +467,13 @@
  * all together, by the room that a round had seen, the last ones found it taken, and waited for a
  * machine to boot.) */
 static void drain(struct rp_services *s, struct rp_machine *m, struct timespec now) {
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        if (place->state != RP_PLACE_SEEN || place->stop || place->job->spec.kind != RP_SERVICE)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state != RP_ALLOCATION_SEEN || allocation->stop ||
+            allocation->job->spec.kind != RP_SERVICE)
             continue;
-        if (could_go(s, m, place, now)) {
-            rp_place_stop(place, 0);
+        if (could_go(s, m, allocation, now)) {
+            rp_allocation_stop(allocation, 0);
             s->n_moved++;
         } else {
             m->emptied = false; /* it stays */
@@ -535,8 +543,8 @@
 static bool much_to_forget(const struct rp_services *s) {
     size_t kept = 0;
     for (const struct rp_machine *m = s->cluster->first; m; m = m->next)
-        for (size_t i = 0; i < m->n_places; i++)
-            kept += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
+        for (size_t i = 0; i < m->n_allocations; i++)
+            kept += m->allocations[i].state == RP_ALLOCATION_EXITED && m->allocations[i].direct;
     return kept > KEPT_LEAST && kept > KEPT_EACH * s->cluster->n_machines;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -82,7 +82,7 @@
 /* What the two files say together: periods and time-outs that contradict one another. */
 int rp_settings_check(const struct rp_settings *s, FILE *errors);
 void rp_settings_free(struct rp_settings *s);
-/* The team's place in the list, or -1. */
+/* The team's index in the list, or -1. */
 int rp_settings_team(const struct rp_settings *s, const char *name);
 
 #endif
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -244,7 +244,7 @@
     else
         c->first[call->share] = call;
     c->last[call->share] = call;
-    if (!c->pump.place)
+    if (!c->pump.heap_index)
         rp_timer_set(c->loop, &c->pump, 0.02);
 }
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -1,4 +1,4 @@
-/* All outside words: the only place that knows the protocol's names. */
+/* All outside words: the only module that knows the protocol's names. */
 #ifndef RP_WIRE_H
 #define RP_WIRE_H
 
--- a/src/workers.c
+++ b/src/workers.c
@@ -92,7 +92,7 @@
     s->until = rp_ts_after(rp_loop_now(w->loop), SEEK_S);
     s->next = w->seekers;
     w->seekers = s;
-    if (!w->seek_timer.place)
+    if (!w->seek_timer.heap_index)
         rp_timer_set(w->loop, &w->seek_timer, SEEK_STEP_S);
 }
 
@@ -130,12 +130,12 @@
 
 /* ---- reading the report into the cluster state ---- */
 
-static struct rp_place *find_place(struct rp_machine *m, const struct rp_job *job, uint32_t task,
-                                   uint64_t attempt) {
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        if (place->task == task && place->attempt == attempt && place->job == job)
-            return place;
+static struct rp_allocation *find_allocation(struct rp_machine *m, const struct rp_job *job,
+                                             uint32_t task, uint64_t attempt) {
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->task == task && allocation->attempt == attempt && allocation->job == job)
+            return allocation;
     }
     return NULL;
 }
@@ -156,12 +156,13 @@
  * speaks against the machine first; once replicas of the job have ended so on several machines it
  * is the job's own fault, and the pauses grow, so that a bad image costs little. */
 static void replica_ended(struct rp_workers *w, struct rp_machine *m,
-                          const struct rp_place *place) {
-    struct rp_job *job = place->job;
+                          const struct rp_allocation *allocation) {
+    struct rp_job *job = allocation->job;
     struct timespec now = rp_loop_now(w->loop);
-    if (place->stop || (place->why != RP_EXIT_DONE && place->why != RP_EXIT_ERROR))
+    if (allocation->stop || (allocation->why != RP_EXIT_DONE && allocation->why != RP_EXIT_ERROR))
         return;
-    if (!rp_ts_zero(place->running) && rp_ts_since(now, place->running) > REPLICA_STEADY_S) {
+    if (!rp_ts_zero(allocation->running) &&
+        rp_ts_since(now, allocation->running) > REPLICA_STEADY_S) {
         job->ends_row = job->n_error_on = 0;
         return;
     }
@@ -169,26 +170,27 @@
     bool held = !rp_ts_reached(now, job->held_until);
     if (!rp_blame_note(job, m) && held)
         return;
-    if (!rp_blame_job_suspect(job) && place->why == RP_EXIT_ERROR)
+    if (!rp_blame_job_suspect(job) && allocation->why == RP_EXIT_ERROR)
         rp_blame_machine(w->cluster, job, m, now);
     job->ends_row++;
     double pause = before == 0 ? 0 : ldexp(REPLICA_PAUSE_S, (int)fmin(job->ends_row, 8) - 2);
     job->held_until = rp_ts_after(now, fmin(pause, REPLICA_PAUSE_MAX_S));
 }
 
-static void task_exited(struct rp_workers *w, struct rp_machine *m, struct rp_place *place) {
-    struct rp_job *job = place->job;
+static void task_exited(struct rp_workers *w, struct rp_machine *m,
+                        struct rp_allocation *allocation) {
+    struct rp_job *job = allocation->job;
     struct timespec now = rp_loop_now(w->loop);
-    bool ran = place->running.tv_sec != 0;
-    rp_debug("task %s/%u attempt=%llu exited on %s why=%d", job->spec.id, place->task,
-             (unsigned long long)place->attempt, m->name, (int)place->why);
+    bool ran = allocation->running.tv_sec != 0;
+    rp_debug("task %s/%u attempt=%llu exited on %s why=%d", job->spec.id, allocation->task,
+             (unsigned long long)allocation->attempt, m->name, (int)allocation->why);
     if (job->spec.kind == RP_SERVICE)
-        replica_ended(w, m, place);
-    switch (place->why) {
+        replica_ended(w, m, allocation);
+    switch (allocation->why) {
     case RP_EXIT_DONE:
         if (ran)
-            rp_jobs_observe(w->jobs, job, rp_ts_since(now, place->running));
-        rp_jobs_task_done(w->jobs, job, place->task);
+            rp_jobs_observe(w->jobs, job, rp_ts_since(now, allocation->running));
+        rp_jobs_task_done(w->jobs, job, allocation->task);
         rp_blame_success(w->cluster, job, m);
         break;
     case RP_EXIT_ERROR:
@@ -198,7 +200,7 @@
     case RP_EXIT_NO_ROOM:
     case RP_EXIT_BUSY:
     case RP_EXIT_UNKNOWN:
-        job->held_until = rp_ts_after(now, place->why == RP_EXIT_UNKNOWN ? 5 : 1);
+        job->held_until = rp_ts_after(now, allocation->why == RP_EXIT_UNKNOWN ? 5 : 1);
         break;
     default:
         break;
@@ -211,42 +213,43 @@
         add_foreign(w, m, t);
         return;
     }
-    struct rp_place *place = find_place(m, job, t->task, t->attempt);
-    if (!place) {
-        /* An old copy of a report, read before any newer one, may name a place that is long gone;
-         * one that shows our token doesn't. */
-        if (t->state != RP_TASK_EXITED && m->token_seen && rp_job_places(job, t->task))
+    struct rp_allocation *allocation = find_allocation(m, job, t->task, t->attempt);
+    if (!allocation) {
+        /* An old copy of a report, read before any newer one, may name an allocation that is long
+         * gone; one that shows our token doesn't. */
+        if (t->state != RP_TASK_EXITED && m->token_seen && rp_job_allocations(job, t->task))
             rp_error("task %s/%u may be in two places, one is %s", job->spec.id, t->task, m->name);
-        place = rp_place_add(w->cluster, m, job, t->task, t->attempt, RP_PLACE_SEEN);
+        allocation = rp_allocation_add(w->cluster, m, job, t->task, t->attempt, RP_ALLOCATION_SEEN);
     }
-    place->marked = true;
-    place->seen_seq = m->seq;
-    if (place->state == RP_PLACE_EXITED)
+    allocation->marked = true;
+    allocation->seen_seq = m->seq;
+    if (allocation->state == RP_ALLOCATION_EXITED)
         return;
     if (t->state == RP_TASK_EXITED) {
-        rp_place_enter(w->cluster, m, place, RP_PLACE_EXITED);
-        place->task_state = t->state;
-        place->why = t->why;
-        task_exited(w, m, place);
+        rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_EXITED);
+        allocation->task_state = t->state;
+        allocation->why = t->why;
+        task_exited(w, m, allocation);
         return;
     }
-    rp_place_enter(w->cluster, m, place, RP_PLACE_SEEN);
-    if (t->state == RP_TASK_RUNNING && place->task_state != RP_TASK_RUNNING) {
+    rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_SEEN);
+    if (t->state == RP_TASK_RUNNING && allocation->task_state != RP_TASK_RUNNING) {
         job->n_running++;
-        place->running = rp_loop_now(w->loop);
+        allocation->running = rp_loop_now(w->loop);
         rp_debug("task %s/%u runs on %s, %.1fs after its start", job->spec.id, t->task, m->name,
-                 rp_ts_since(place->running, place->since));
-    } else if (t->state != RP_TASK_RUNNING && place->task_state == RP_TASK_RUNNING) {
+                 rp_ts_since(allocation->running, allocation->since));
+    } else if (t->state != RP_TASK_RUNNING && allocation->task_state == RP_TASK_RUNNING) {
         job->n_running--;
     }
-    if (t->state != RP_TASK_FETCHING && place->task_state == RP_TASK_FETCHING)
+    if (t->state != RP_TASK_FETCHING && allocation->task_state == RP_TASK_FETCHING)
         rp_machine_note_image(w->cluster, m, job->image_hash, job->spec.image_gb);
-    place->task_state = t->state;
-    double ran = place->running.tv_sec ? rp_ts_since(rp_loop_now(w->loop), place->running) : 0;
+    allocation->task_state = t->state;
+    double ran =
+        allocation->running.tv_sec ? rp_ts_since(rp_loop_now(w->loop), allocation->running) : 0;
     if (ran > job->run_floor_s)
         job->run_floor_s = ran;
     if (job->state != RP_JOB_OPEN || rp_job_task_done(job, t->task))
-        rp_place_stop(place, 0);
+        rp_allocation_stop(allocation, 0);
 }
 
 /* ---- machines whose reports come, but which our answers don't reach ---- */
@@ -282,13 +285,13 @@
  * start sent directly may still arrive: only its own answer, or being listed, settles it; and what
  * a newer answer to a direct command has listed is there, whatever an older report says. */
 static void settle_missing(struct rp_workers *w, struct rp_machine *m, uint64_t seq) {
-    for (size_t i = m->n_places; i-- > 0;) {
-        struct rp_place *place = &m->places[i];
-        bool in_flight = place->state == RP_PLACE_SENT && place->sent_seq >= seq;
-        bool may_arrive = place->state == RP_PLACE_SENT && place->direct;
-        if (!place->marked && place->state != RP_PLACE_PLANNED && !in_flight && !may_arrive &&
-            place->seen_seq < seq)
-            rp_place_drop(w->cluster, m, i);
+    for (size_t i = m->n_allocations; i-- > 0;) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        bool in_flight = allocation->state == RP_ALLOCATION_SENT && allocation->sent_seq >= seq;
+        bool may_arrive = allocation->state == RP_ALLOCATION_SENT && allocation->direct;
+        if (!allocation->marked && allocation->state != RP_ALLOCATION_PLANNED && !in_flight &&
+            !may_arrive && allocation->seen_seq < seq)
+            rp_allocation_drop(w->cluster, m, i);
     }
 }
 
@@ -296,29 +299,32 @@
     if (!r->has_notice)
         return;
     if (!m->noticed)
-        rp_info("machine %s is taken back in %.1fs, places=%zu", m->name, r->notice_s, m->n_places);
+        rp_info("machine %s is taken back in %.1fs, places=%zu", m->name, r->notice_s,
+                m->n_allocations);
     m->noticed = true;
     m->notice_end = rp_ts_after(rp_loop_now(w->loop), r->notice_s);
-    for (size_t i = m->n_places; i-- > 0;) {
-        if (i >= m->n_places)
-            continue; /* stopping a gang has dropped places here */
-        struct rp_place *place = &m->places[i];
-        const struct rp_job_spec *spec = &place->job->spec;
+    for (size_t i = m->n_allocations; i-- > 0;) {
+        if (i >= m->n_allocations)
+            continue; /* stopping a gang has dropped allocations here */
+        struct rp_allocation *allocation = &m->allocations[i];
+        const struct rp_job_spec *spec = &allocation->job->spec;
         double grace = spec->save_s * 1.5 + 1;
-        bool idle = place->task_state == RP_TASK_FETCHING || place->task_state == RP_TASK_WAITING;
+        bool idle =
+            allocation->task_state == RP_TASK_FETCHING || allocation->task_state == RP_TASK_WAITING;
         /* A gang's progress is safe only if all of its tasks are told within gang_peer_s: each
          * machine reports before that. */
-        if (spec->kind == RP_GANG && spec->n_tasks > 1 && !place->stop)
-            rp_cluster_stop_job(w->cluster, place->job,
+        if (spec->kind == RP_GANG && spec->n_tasks > 1 && !allocation->stop)
+            rp_cluster_stop_job(w->cluster, allocation->job,
                                 spec->checkpoint_s > 0 && !idle ? grace : 0);
-        else if (place->state == RP_PLACE_PLANNED)
-            rp_place_drop(w->cluster, m, i);
+        else if (allocation->state == RP_ALLOCATION_PLANNED)
+            rp_allocation_drop(w->cluster, m, i);
         else if (spec->kind == RP_SERVICE)
-            rp_place_stop(place, 0); /* so it runs elsewhere sooner than when the machine goes */
+            rp_allocation_stop(allocation,
+                               0); /* so it runs elsewhere sooner than when the machine goes */
         else if (idle)
-            rp_place_stop(place, 0);
+            rp_allocation_stop(allocation, 0);
         else if (spec->checkpoint_s > 0)
-            rp_place_stop(place, grace);
+            rp_allocation_stop(allocation, grace);
     }
 }
 
@@ -327,10 +333,10 @@
 static void mark_listed(struct rp_workers *w, struct rp_machine *m, const struct rp_report *r) {
     for (size_t i = 0; i < r->n_tasks; i++) {
         struct rp_job *job = rp_jobs_find(w->jobs, r->tasks[i].job);
-        struct rp_place *place =
-            job ? find_place(m, job, r->tasks[i].task, r->tasks[i].attempt) : NULL;
-        if (place)
-            place->marked = true;
+        struct rp_allocation *allocation =
+            job ? find_allocation(m, job, r->tasks[i].task, r->tasks[i].attempt) : NULL;
+        if (allocation)
+            allocation->marked = true;
     }
 }
 
@@ -346,8 +352,8 @@
     m->unreached = false;
     strcpy(m->addr, r->addr);
     rp_machine_note_token(w->cluster, m, r->token == w->election->token);
-    for (size_t i = 0; i < m->n_places; i++)
-        m->places[i].marked = false;
+    for (size_t i = 0; i < m->n_allocations; i++)
+        m->allocations[i].marked = false;
     if (behind) {
         mark_listed(w, m, r);
     } else {
@@ -397,78 +403,83 @@
  * answers to reports have no late copies, direct ones may have; those die with the token, which is
  * part of the attempt's number, or with the session. */
 static bool may_forget(const struct rp_workers *w, const struct rp_machine *m,
-                       const struct rp_place *place) {
+                       const struct rp_allocation *allocation) {
     /* Until the token is seen, an earlier leader's start may still be on its way. */
-    if (!m->token_seen || (place->direct && place->attempt >> 32 == w->election->token))
+    if (!m->token_seen || (allocation->direct && allocation->attempt >> 32 == w->election->token))
         return false;
     /* A result must be durable before the worker may lose it. */
-    return place->why != RP_EXIT_DONE || rp_job_task_durable(place->job, place->task);
+    return allocation->why != RP_EXIT_DONE ||
+           rp_job_task_durable(allocation->job, allocation->task);
 }
 
 /* Stops and removals: they can be repeated and late without harm. */
 static void command_ends(const struct rp_workers *w, struct batch *b, struct rp_machine *m,
                          struct timespec now) {
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        const char *job = place->job->spec.id;
-        if (place->state == RP_PLACE_EXITED) {
-            if (may_forget(w, m, place))
-                command(b, RP_OP_FORGET, job, place->task, place->attempt, 0);
-        } else if (place->stop && place->state != RP_PLACE_PLANNED) {
-            bool saving = place->task_state == RP_TASK_SAVING && place->grace_s > 0;
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        const char *job = allocation->job->spec.id;
+        if (allocation->state == RP_ALLOCATION_EXITED) {
+            if (may_forget(w, m, allocation))
+                command(b, RP_OP_FORGET, job, allocation->task, allocation->attempt, 0);
+        } else if (allocation->stop && allocation->state != RP_ALLOCATION_PLANNED) {
+            bool saving = allocation->task_state == RP_TASK_SAVING && allocation->grace_s > 0;
             if (saving)
                 continue;
-            place->stop_sent = now;
-            place->job->interrupted = true;
+            allocation->stop_sent = now;
+            allocation->job->interrupted = true;
             /* A direct start that nothing has been heard of may still arrive, after this stop:
              * started and stopped in one go, its attempt is known there, and over. */
-            if (place->direct && place->state == RP_PLACE_SENT)
-                command(b, RP_OP_START, job, place->task, place->attempt, 0);
-            command(b, RP_OP_STOP, job, place->task, place->attempt, place->grace_s);
+            if (allocation->direct && allocation->state == RP_ALLOCATION_SENT)
+                command(b, RP_OP_START, job, allocation->task, allocation->attempt, 0);
+            command(b, RP_OP_STOP, job, allocation->task, allocation->attempt, allocation->grace_s);
         }
     }
 }
 
 static bool start_still_good(struct rp_workers *w, const struct rp_machine *m,
-                             const struct rp_place *place) {
-    return place->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
-           rp_cluster_job_settled(w->cluster, place->job) && rp_jobs_may_start(w->jobs);
+                             const struct rp_allocation *allocation) {
+    return allocation->job->state == RP_JOB_OPEN && rp_machine_usable(m) &&
+           rp_cluster_job_settled(w->cluster, allocation->job) && rp_jobs_may_start(w->jobs);
 }
 
 /* A direct start whose answer was lost is said again: the same attempt can't begin twice. */
 static void command_again(struct rp_workers *w, struct batch *b, struct rp_machine *m) {
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        if (place->state != RP_PLACE_SENT || !place->direct || place->direct_open || place->stop)
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state != RP_ALLOCATION_SENT || !allocation->direct ||
+            allocation->direct_open || allocation->stop)
             continue;
-        command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
-        if (!start_still_good(w, m, place)) {
-            rp_place_stop(place, 0);
-            command(b, RP_OP_STOP, place->job->spec.id, place->task, place->attempt, 0);
+        command(b, RP_OP_START, allocation->job->spec.id, allocation->task, allocation->attempt, 0);
+        if (!start_still_good(w, m, allocation)) {
+            rp_allocation_stop(allocation, 0);
+            command(b, RP_OP_STOP, allocation->job->spec.id, allocation->task, allocation->attempt,
+                    0);
         }
     }
 }
 
 static void command_starts(struct rp_workers *w, struct batch *b, struct rp_machine *m,
                            bool direct) {
-    for (size_t i = m->n_places; i-- > 0;) {
-        struct rp_place *place = &m->places[i];
-        if (place->state != RP_PLACE_PLANNED || (direct && place->job->spec.kind != RP_SERVICE))
+    for (size_t i = m->n_allocations; i-- > 0;) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->state != RP_ALLOCATION_PLANNED ||
+            (direct && allocation->job->spec.kind != RP_SERVICE))
             continue;
-        if (!start_still_good(w, m, place)) {
-            rp_place_drop(w->cluster, m, i);
+        if (!start_still_good(w, m, allocation)) {
+            rp_allocation_drop(w->cluster, m, i);
             continue;
         }
         if (b->n == COMMANDS_MAX)
             return;
-        command(b, RP_OP_START, place->job->spec.id, place->task, place->attempt, 0);
-        rp_place_enter(w->cluster, m, place, RP_PLACE_SENT);
-        place->sent_seq = m->report_seq;
-        place->direct = place->direct_open = direct;
+        command(b, RP_OP_START, allocation->job->spec.id, allocation->task, allocation->attempt, 0);
+        rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_SENT);
+        allocation->sent_seq = m->report_seq;
+        allocation->direct = allocation->direct_open = direct;
         w->n_starts++;
-        rp_metrics_add(w->metrics, RP_METRIC_START, rp_job_age_s(place->job, rp_loop_now(w->loop)));
-        rp_debug("start %s/%u attempt=%llu on %s%s", place->job->spec.id, place->task,
-                 (unsigned long long)place->attempt, m->name, direct ? " directly" : "");
+        rp_metrics_add(w->metrics, RP_METRIC_START,
+                       rp_job_age_s(allocation->job, rp_loop_now(w->loop)));
+        rp_debug("start %s/%u attempt=%llu on %s%s", allocation->job->spec.id, allocation->task,
+                 (unsigned long long)allocation->attempt, m->name, direct ? " directly" : "");
     }
 }
 
@@ -549,10 +560,10 @@
     free(b.list);
 }
 
-static size_t busy_places(const struct rp_machine *m) {
+static size_t busy_allocations(const struct rp_machine *m) {
     size_t n = 0;
-    for (size_t i = 0; i < m->n_places; i++)
-        n += m->places[i].state != RP_PLACE_EXITED;
+    for (size_t i = 0; i < m->n_allocations; i++)
+        n += m->allocations[i].state != RP_ALLOCATION_EXITED;
     return n;
 }
 
@@ -604,7 +615,7 @@
         respond(req, 503, rp_wire_error("a newer report is known"));
         return;
     }
-    size_t busy = busy_places(m);
+    size_t busy = busy_allocations(m);
     bool was_up = m->state == RP_MACHINE_UP;
     read_report(w, m, r);
     if (!m->recorded)
@@ -613,7 +624,7 @@
         respond(req, 503, rp_wire_error("no answer seems to reach this machine"));
         return;
     }
-    bool news = m->state != RP_MACHINE_RETURNING && (busy_places(m) < busy || !was_up);
+    bool news = m->state != RP_MACHINE_RETURNING && (busy_allocations(m) < busy || !was_up);
     if (news && w->on_room && !w->on_room(w->arg))
         hold(w, req, m);
     else
@@ -686,25 +697,25 @@
         const struct rp_task_report *t = &r->tasks[i];
         struct rp_job *job = rp_jobs_find(w->jobs, t->job);
         /* What this leader hasn't started, reports tell of. */
-        if (job && t->task < job->spec.n_tasks && find_place(m, job, t->task, t->attempt))
+        if (job && t->task < job->spec.n_tasks && find_allocation(m, job, t->task, t->attempt))
             read_task(w, m, t);
     }
 }
 
 /* What became of the starts that the command carried. */
 static void settle_direct(struct direct *d, struct rp_machine *m, bool refused) {
-    for (size_t i = m->n_places; i-- > 0;) {
-        struct rp_place *place = &m->places[i];
+    for (size_t i = m->n_allocations; i-- > 0;) {
+        struct rp_allocation *allocation = &m->allocations[i];
         bool mine = false;
         for (size_t k = 0; k < d->n; k++)
-            mine |= place->attempt == d->attempts[k];
+            mine |= allocation->attempt == d->attempts[k];
         if (!mine)
             continue;
-        place->direct_open = false;
+        allocation->direct_open = false;
         /* Refused whole, or never sent. (Carried out, it is listed: in this answer, or in a newer
          * report that came before it. Without an answer it may still arrive.) */
-        if (place->state == RP_PLACE_SENT && refused)
-            rp_place_drop(d->w->cluster, m, i);
+        if (allocation->state == RP_ALLOCATION_SENT && refused)
+            rp_allocation_drop(d->w->cluster, m, i);
     }
 }
 
@@ -717,7 +728,7 @@
     if (!m)
         goto out;
     w->n_direct_lost += !read;
-    size_t busy = busy_places(m);
+    size_t busy = busy_allocations(m);
     if (read) {
         if (r.token > w->election->token)
             rp_election_doubt(w->election);
@@ -726,7 +737,7 @@
     }
     settle_direct(d, m, a->unsent || (read && a->status == 409));
     m->unreached = a->unsent;
-    if ((busy_places(m) < busy || a->unsent) && w->on_room)
+    if ((busy_allocations(m) < busy || a->unsent) && w->on_room)
         w->on_room(w->arg);
 out:
     direct_free(d);
@@ -734,8 +745,8 @@
 
 bool rp_workers_direct_full(const struct rp_machine *m) {
     size_t n = 0;
-    for (size_t i = 0; i < m->n_places; i++)
-        n += m->places[i].state == RP_PLACE_EXITED && m->places[i].direct;
+    for (size_t i = 0; i < m->n_allocations; i++)
+        n += m->allocations[i].state == RP_ALLOCATION_EXITED && m->allocations[i].direct;
     return n >= DIRECT_KEPT;
 }
 
@@ -752,12 +763,14 @@
     if (!b.list || !rp_machine_usable(m) || !*m->addr || rp_workers_direct_full(m) ||
         !rp_election_valid(w->election, now))
         goto out;
-    for (size_t i = 0; i < m->n_places; i++) {
-        struct rp_place *place = &m->places[i];
-        if (place->stop && place->grace_s <= 0 && place->state == RP_PLACE_SEEN) {
-            place->job->interrupted = true;
-            place->stop_sent = now;
-            command(&b, RP_OP_STOP, place->job->spec.id, place->task, place->attempt, 0);
+    for (size_t i = 0; i < m->n_allocations; i++) {
+        struct rp_allocation *allocation = &m->allocations[i];
+        if (allocation->stop && allocation->grace_s <= 0 &&
+            allocation->state == RP_ALLOCATION_SEEN) {
+            allocation->job->interrupted = true;
+            allocation->stop_sent = now;
+            command(&b, RP_OP_STOP, allocation->job->spec.id, allocation->task, allocation->attempt,
+                    0);
         }
     }
     command_starts(w, &b, m, true);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1396,7 +1396,7 @@
             break;
         }
         if (over) {
-            /* Call-backs may have added events: only the place is reused. */
+            /* Call-backs may have added events: only the slot is reused. */
             s->events[i] = s->events[--s->n_events];
             event_free(e);
             i--;
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -268,8 +268,8 @@
     int on_it = 0;
     s->cloud_out_until = s->now + 60;
     for (struct rp_machine *m = n->cluster.first; m; m = m->next)
-        if (m->state == RP_MACHINE_UP && m->n_places > 0) {
-            on_it += (int)m->n_places;
+        if (m->state == RP_MACHINE_UP && m->n_allocations > 0) {
+            on_it += (int)m->n_allocations;
             rp_fleet_return(&n->fleet, m, "to see what becomes of its tasks");
         }
     assert_true(on_it >= 50);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,4 +1,4 @@
-/* Both settings files: what is read, and what is refused, with its place. */
+/* Both settings files: what is read, and what is refused, with its position. */
 #include "test.h"
 
 #include <gsl/gsl_rng.h>
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -244,7 +244,7 @@
     struct rp_cluster *p = &s->nodes[sim_leader(s)].node->cluster;
     const struct rp_machine *m = rp_machine_find(p, name);
     assert_true(!m || !rp_machine_usable(m));
-    assert_true(!m || m->n_places == 0);
+    assert_true(!m || m->n_allocations == 0);
     sim_run(s, 40);
     assert_null(rp_machine_find(p, name));
     sim_run(s, 100);
@@ -475,7 +475,7 @@
             if (!job || job->state != RP_JOB_OPEN || job->n_counted > 0 || m->faulty ||
                 m->noticed || rp_ts_reached(rp_loop_now(n->loop), m->reserved_until))
                 continue;
-            kept += m->n_places == 0;
+            kept += m->n_allocations == 0;
             assert_int_equal(m->state, RP_MACHINE_UP);
         }
     }
@@ -485,7 +485,7 @@
 }
 
 /* Incident f8f1: gangs of one task that takes a whole machine waited for seven minutes behind small
- * work of their own priority, which took each place that fell free. */
+ * work of their own priority, which took all room that fell free. */
 static void whole_machine_task_begins_on_a_full_fleet(void **state) {
     static const struct sim_faults none = {0};
     struct sim *s = sim_new(15, &none, SIM_SOUND, 3);
@@ -714,7 +714,7 @@
         assert_int_equal(sim_leader(s), leader);
         for (const struct rp_job *job = n->jobs.first; job; job = job->next)
             for (uint32_t t = 0; t < job->spec.n_tasks; t++)
-                assert_true(rp_job_places(job, t) <= 1);
+                assert_true(rp_job_allocations(job, t) <= 1);
     }
     sim_run(s, 200);
     assert_string_equal(s->broken, "");
