Rename: task_errors, waiting reports, unknown tasks, draining, set_state

Was: blame, seekers, foreign, emptied, enter, deaf (rp_machine_misses_answers), witness (last_error_job).

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -18,7 +18,7 @@
 
 static void machine_free(struct rp_machine *m) {
     free(m->allocations);
-    free(m->foreign);
+    free(m->unknown_tasks);
     free(m->images);
     free(m);
 }
@@ -95,7 +95,7 @@
     machine_free(m);
 }
 
-void rp_machine_enter(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state) {
+void rp_machine_set_state(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state) {
     static const char *const names[] = {"booting", "unknown", "up", "lost", "returning"};
     struct timespec now = rp_loop_now(p->loop);
     if (m->state == state)
@@ -120,21 +120,21 @@
     m->token_seen = seen;
 }
 
-void rp_machine_clear_foreign(struct rp_cluster *p, struct rp_machine *m) {
-    p->n_with_foreign -= m->n_foreign > 0;
-    m->n_foreign = 0;
+void rp_machine_clear_unknown_tasks(struct rp_cluster *p, struct rp_machine *m) {
+    p->n_with_unknown_tasks -= m->n_unknown_tasks > 0;
+    m->n_unknown_tasks = 0;
 }
 
-bool rp_machine_add_foreign(struct rp_cluster *p, struct rp_machine *m,
-                            const struct rp_foreign *foreign) {
-    if (!m->foreign)
-        m->foreign = calloc(RP_FOREIGN_KEPT, sizeof *m->foreign);
-    if (!m->foreign)
+bool rp_machine_add_unknown_task(struct rp_cluster *p, struct rp_machine *m,
+                                 const struct rp_unknown_task *unknown_tasks) {
+    if (!m->unknown_tasks)
+        m->unknown_tasks = calloc(RP_UNKNOWN_TASKS_KEPT, sizeof *m->unknown_tasks);
+    if (!m->unknown_tasks)
         abort(); /* out of memory: a restart is the honest answer */
-    if (m->n_foreign == RP_FOREIGN_KEPT)
+    if (m->n_unknown_tasks == RP_UNKNOWN_TASKS_KEPT)
         return false;
-    p->n_with_foreign += m->n_foreign == 0;
-    m->foreign[m->n_foreign++] = *foreign;
+    p->n_with_unknown_tasks += m->n_unknown_tasks == 0;
+    m->unknown_tasks[m->n_unknown_tasks++] = *unknown_tasks;
     return true;
 }
 
@@ -142,7 +142,7 @@
     while (m->n_allocations > 0)
         rp_allocation_drop(p, m, m->n_allocations - 1);
     /* What it has fetched stays on its disk: a cut or a hang takes the tasks, not the images. */
-    rp_machine_clear_foreign(p, m);
+    rp_machine_clear_unknown_tasks(p, m);
 }
 
 uint64_t rp_cluster_attempt(struct rp_cluster *p) {
@@ -224,14 +224,14 @@
     return room;
 }
 
-bool rp_machine_deaf(const struct rp_machine *m) {
-    return !rp_ts_zero(m->deaf_since);
+bool rp_machine_misses_answers(const struct rp_machine *m) {
+    return !rp_ts_zero(m->answers_lost_since);
 }
 
 bool rp_machine_usable(const struct rp_machine *m) {
     return m->state == RP_MACHINE_UP && m->recorded && m->up_recorded && m->token_seen &&
-           !m->noticed && !m->faulty && !m->suspect && !rp_machine_deaf(m) && m->n_foreign == 0 &&
-           m->type >= 0 && m->zone >= 0;
+           !m->noticed && !m->faulty && !m->suspect && !rp_machine_misses_answers(m) &&
+           m->n_unknown_tasks == 0 && m->type >= 0 && m->zone >= 0;
 }
 
 bool rp_cluster_allows(const struct rp_cluster *p, const struct rp_job_spec *spec, int type,
@@ -265,7 +265,7 @@
     for (size_t i = 0; i < m->n_allocations; i++)
         if (m->allocations[i].state != RP_ALLOCATION_EXITED || !m->allocations[i].direct)
             return false;
-    return m->n_foreign == 0;
+    return m->n_unknown_tasks == 0;
 }
 
 struct rp_resources rp_cluster_over_quota(const struct rp_cluster *p, const struct rp_job *job) {
@@ -274,7 +274,7 @@
     bool limited = team && (team->cpus_max > 0 || team->gpus_max > 0);
     /* Tasks of jobs that this leader can't know are counted against nobody's limit, so nobody
      * with a limit starts anything before they are gone. */
-    if (!team || (limited && p->n_with_foreign > 0))
+    if (!team || (limited && p->n_with_unknown_tasks > 0))
         return (struct rp_resources){INFINITY, INFINITY, INFINITY};
     if (team->cpus_max > 0)
         over.cpus = p->team_cpus[job->team] + job->spec.each.cpus - team->cpus_max - 1e-9;
@@ -346,8 +346,8 @@
     return allocation;
 }
 
-void rp_allocation_enter(struct rp_cluster *p, struct rp_machine *m,
-                         struct rp_allocation *allocation, enum rp_allocation_state state) {
+void rp_allocation_set_state(struct rp_cluster *p, struct rp_machine *m,
+                             struct rp_allocation *allocation, enum rp_allocation_state state) {
     if (allocation->state == state)
         return;
     set_running(allocation, false);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -42,10 +42,10 @@
 };
 
 #define RP_IMAGES_KEPT 128 /* by 24 bytes; beyond, the one used longest ago is forgotten */
-#define RP_FOREIGN_KEPT 256
+#define RP_UNKNOWN_TASKS_KEPT 256
 
 /* A task on a machine whose job this leader doesn't know (any more): stopped and forgotten. */
-struct rp_foreign {
+struct rp_unknown_task {
     char job[RP_ID_MAX];
     uint32_t task;
     uint64_t attempt;
@@ -87,20 +87,20 @@
     struct timespec lost_since;
     uint64_t lost_session; /* the session that it was lost in, 0: none that this leader heard of */
     struct timespec
-        deaf_since; /* its reports come, but our answers don't reach it; zero: they do */
+        answers_lost_since; /* its reports come, but our answers don't reach it; zero: they do */
     struct rp_allocation *allocations;
     size_t n_allocations, cap_allocations;
-    struct rp_foreign *foreign;
-    size_t n_foreign;
+    struct rp_unknown_task *unknown_tasks;
+    size_t n_unknown_tasks;
     struct rp_image *images;
     size_t n_images, cap_images;
-    unsigned errors_row;  /* errors since the last task that ended well */
-    unsigned n_witnesses; /* jobs that they were of */
-    uint64_t witness;     /* the last of them */
-    bool suspect;         /* the machine or that job */
+    unsigned errors_row;     /* errors since the last task that ended well */
+    unsigned n_error_jobs;   /* jobs that they were of */
+    uint64_t last_error_job; /* the last of them */
+    bool suspect;            /* the machine or that job */
     struct timespec suspect_until;
     bool faulty;
-    bool emptied;             /* its work moves elsewhere, then it goes back */
+    bool draining;            /* its work moves elsewhere, then it goes back */
     char reserved[RP_ID_MAX]; /* room is kept here for this job, "" for none */
     struct timespec reserved_until;
     bool delete_sent;
@@ -124,7 +124,7 @@
     struct rp_machine **unsettled;
     size_t n_unsettled, cap_unsettled;
     bool unsettled_stale;
-    size_t n_with_foreign;         /* machines that hold tasks of unknown jobs */
+    size_t n_with_unknown_tasks;   /* machines that hold tasks of unknown jobs */
     double *team_cpus, *team_gpus; /* what each team's tasks may use now */
     uint64_t token;
     uint64_t attempt_base, attempt_next;
@@ -142,13 +142,14 @@
 /* The machine is certainly gone: everything on it is, too. */
 void rp_machine_remove(struct rp_cluster *p, struct rp_machine *m);
 /* The one place where a machine changes its state. */
-void rp_machine_enter(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state);
+void rp_machine_set_state(struct rp_cluster *p, struct rp_machine *m, enum rp_machine_state state);
 /* Whether its newest report shows our token. */
 void rp_machine_note_token(struct rp_cluster *p, struct rp_machine *m, bool seen);
-/* Forgets, and adds, tasks of jobs that this leader doesn't know; false beyond RP_FOREIGN_KEPT. */
-void rp_machine_clear_foreign(struct rp_cluster *p, struct rp_machine *m);
-bool rp_machine_add_foreign(struct rp_cluster *p, struct rp_machine *m,
-                            const struct rp_foreign *foreign);
+/* Forgets, and adds, tasks of jobs that this leader doesn't know; false beyond
+ * RP_UNKNOWN_TASKS_KEPT. */
+void rp_machine_clear_unknown_tasks(struct rp_cluster *p, struct rp_machine *m);
+bool rp_machine_add_unknown_task(struct rp_cluster *p, struct rp_machine *m,
+                                 const struct rp_unknown_task *unknown_tasks);
 /* The session is over: no task of it is on the machine any more. */
 void rp_machine_session_over(struct rp_cluster *p, struct rp_machine *m);
 
@@ -160,7 +161,7 @@
 bool rp_cluster_job_settled(struct rp_cluster *p, const struct rp_job *job);
 struct rp_resources rp_machine_free(const struct rp_cluster *p, const struct rp_machine *m);
 bool rp_machine_usable(const struct rp_machine *m);
-bool rp_machine_deaf(const struct rp_machine *m);
+bool rp_machine_misses_answers(const struct rp_machine *m);
 /* The types, zones and kinds that the job allows. */
 bool rp_cluster_allows(const struct rp_cluster *p, const struct rp_job_spec *spec, int type,
                        int zone, bool spot);
@@ -183,8 +184,8 @@
                                         struct rp_job *job, uint32_t task, uint64_t attempt,
                                         enum rp_allocation_state state);
 /* The one place where an allocation changes its state; keeps all counts. */
-void rp_allocation_enter(struct rp_cluster *p, struct rp_machine *m,
-                         struct rp_allocation *allocation, enum rp_allocation_state state);
+void rp_allocation_set_state(struct rp_cluster *p, struct rp_machine *m,
+                             struct rp_allocation *allocation, enum rp_allocation_state state);
 void rp_allocation_drop(struct rp_cluster *p, struct rp_machine *m, size_t index);
 void rp_allocation_stop(struct rp_allocation *allocation, double grace_s);
 /* Wants every task of the job stopped, wherever it may be. */
--- a/src/election.c
+++ b/src/election.c
@@ -76,7 +76,7 @@
 }
 
 /* The one place where the election changes its state. */
-static void enter(struct rp_election *e, enum rp_election_state at) {
+static void set_state(struct rp_election *e, enum rp_election_state at) {
     enum rp_election_state was = e->at;
     e->at = at;
     if (was == RP_HOLDING && at != RP_HOLDING) {
@@ -95,7 +95,7 @@
 }
 
 static void follow_again(struct rp_election *e, double after_s) {
-    enter(e, RP_FOLLOWING);
+    set_state(e, RP_FOLLOWING);
     rp_timer_set(e->loop, &e->timer, after_s);
 }
 
@@ -109,7 +109,7 @@
     if (r->outcome == RP_STATE_OK) {
         e->token = rp_wire_revision(r->body);
         e->valid_until = rp_election_trust(e->asked, e->term_ttl_s);
-        enter(e, RP_HOLDING);
+        set_state(e, RP_HOLDING);
         rp_timer_set(e->loop, &e->timer, fmin(TOUCH_S, e->term_ttl_s / 8));
         return;
     }
@@ -130,7 +130,7 @@
     json_t *txn = rp_wire_txn();
     rp_wire_txn_if(txn, RP_KEY_LEADER, e->claim_over);
     rp_wire_txn_put(txn, RP_KEY_LEADER, rp_record_leader(e->node), e->lease);
-    enter(e, RP_CLAIMING);
+    set_state(e, RP_CLAIMING);
     rp_state_txn(e->state, RP_SHARE_LEADERSHIP, txn, claimed, e);
 }
 
@@ -138,7 +138,7 @@
     e->claim_over = over;
     e->asked = rp_loop_now(e->loop);
     e->term_ttl_s = rp_ts_zero(e->silent_since) ? e->ttl_s : fmin(SILENT_TTL_S, e->ttl_s);
-    enter(e, RP_LEASING);
+    set_state(e, RP_LEASING);
     rp_state_lease(e->state, e->term_ttl_s, leased, e);
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include "blame.h"
+#include "task_errors.h"
 #include "log.h"
 #include "wire.h"
 #include "workers.h"
@@ -589,7 +589,7 @@
         return;
     rp_info("machine %s goes back: %s, rented %.0fs ago", m->name, why,
             rp_ts_since(rp_loop_now(f->loop), m->rented));
-    rp_machine_enter(f->cluster, m, RP_MACHINE_RETURNING);
+    rp_machine_set_state(f->cluster, m, RP_MACHINE_RETURNING);
     delete_some(f);
 }
 
@@ -722,7 +722,7 @@
 
 /* How long nothing has shown that the machine gets our answers. */
 static double deaf_for(const struct rp_machine *m, struct timespec now) {
-    return rp_machine_deaf(m) ? rp_ts_since(now, m->deaf_since) : 0;
+    return rp_machine_misses_answers(m) ? rp_ts_since(now, m->answers_lost_since) : 0;
 }
 
 /* A leader that the workers can't reach, though the state service can, renews its lease and does
@@ -823,19 +823,19 @@
                           struct timespec now) {
     double led = rp_ts_since(now, f->led_since);
     double boot = m->type >= 0 ? f->catalog->types[m->type].boot_s : 60;
-    rp_blame_step(m, now);
+    rp_task_errors_step(m, now);
     switch (m->state) {
     case RP_MACHINE_UNKNOWN:
     case RP_MACHINE_UP:
         if (rp_ts_reached(now, m->held_until)) {
-            rp_machine_enter(f->cluster, m, RP_MACHINE_LOST);
+            rp_machine_set_state(f->cluster, m, RP_MACHINE_LOST);
             f->news = true;
-        } else if (!cut_off && rp_machine_deaf(m) &&
-                   rp_ts_since(now, m->deaf_since) > DEAF_RETURN_S)
+        } else if (!cut_off && rp_machine_misses_answers(m) &&
+                   rp_ts_since(now, m->answers_lost_since) > DEAF_RETURN_S)
             rp_fleet_return(f, m, "gets no answers");
         else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
             rp_fleet_return(f, m, "taken back");
-        else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->emptied) &&
+        else if (m->state == RP_MACHINE_UP && (m->faulty || m->noticed || m->draining) &&
                  rp_machine_idle(m))
             rp_fleet_return(f, m,
                             m->faulty    ? "faulty"
--- a/src/http_parse.c
+++ b/src/http_parse.c
@@ -35,14 +35,14 @@
 }
 
 /* The one place where the parser changes its state. */
-static void enter(struct rp_http_parser *p, enum rp_http_state state) {
+static void set_state(struct rp_http_parser *p, enum rp_http_state state) {
     p->state = state;
     p->line_len = 0;
 }
 
 static void fail(struct rp_http_parser *p, int status) {
     p->error = status;
-    enter(p, RP_HTTP_FAILED);
+    set_state(p, RP_HTTP_FAILED);
 }
 
 static bool is_token_char(unsigned char c) {
@@ -93,7 +93,7 @@
     memcpy(p->target, method_end + 1, target_len);
     p->target[target_len] = '\0';
     if (parse_version(p, target_end + 1))
-        enter(p, RP_HTTP_HEADERS);
+        set_state(p, RP_HTTP_HEADERS);
 }
 
 static void status_line(struct rp_http_parser *p) {
@@ -107,7 +107,7 @@
         return;
     }
     p->status = (code[0] - '0') * 100 + (code[1] - '0') * 10 + (code[2] - '0');
-    enter(p, RP_HTTP_HEADERS);
+    set_state(p, RP_HTTP_HEADERS);
 }
 
 static bool parse_size(const char *text, int base, size_t *out) {
@@ -191,25 +191,25 @@
         *--end = '\0';
     header_value(p, p->line, value);
     if (p->state != RP_HTTP_FAILED)
-        enter(p, RP_HTTP_HEADERS);
+        set_state(p, RP_HTTP_HEADERS);
 }
 
 static void headers_end(struct rp_http_parser *p) {
     if (p->role == RP_HTTP_RESPONSE && p->status / 100 == 1) {
-        enter(p, RP_HTTP_START_LINE); /* an interim answer: the real one follows */
+        set_state(p, RP_HTTP_START_LINE); /* an interim answer: the real one follows */
         return;
     }
     if (p->role == RP_HTTP_RESPONSE && (p->status == 204 || p->status == 304))
-        enter(p, RP_HTTP_DONE);
+        set_state(p, RP_HTTP_DONE);
     else if (p->chunked)
-        enter(p, RP_HTTP_CHUNK_SIZE);
+        set_state(p, RP_HTTP_CHUNK_SIZE);
     else if (p->has_length)
-        enter(p, p->left ? RP_HTTP_BODY_SIZED : RP_HTTP_DONE);
+        set_state(p, p->left ? RP_HTTP_BODY_SIZED : RP_HTTP_DONE);
     else if (p->role == RP_HTTP_RESPONSE) {
         p->close = true;
-        enter(p, RP_HTTP_BODY_UNTIL_CLOSE);
+        set_state(p, RP_HTTP_BODY_UNTIL_CLOSE);
     } else
-        enter(p, RP_HTTP_DONE);
+        set_state(p, RP_HTTP_DONE);
 }
 
 static void chunk_size(struct rp_http_parser *p) {
@@ -223,7 +223,7 @@
         return;
     }
     p->left = size;
-    enter(p, size ? RP_HTTP_CHUNK_DATA : RP_HTTP_TRAILERS);
+    set_state(p, size ? RP_HTTP_CHUNK_DATA : RP_HTTP_TRAILERS);
 }
 
 static void whole_line(struct rp_http_parser *p) {
@@ -254,10 +254,10 @@
         if (p->line_len)
             fail(p, 400);
         else
-            enter(p, RP_HTTP_CHUNK_SIZE);
+            set_state(p, RP_HTTP_CHUNK_SIZE);
         break;
     default: /* RP_HTTP_TRAILERS */
-        enter(p, p->line_len ? RP_HTTP_TRAILERS : RP_HTTP_DONE);
+        set_state(p, p->line_len ? RP_HTTP_TRAILERS : RP_HTTP_DONE);
         break;
     }
 }
@@ -317,7 +317,7 @@
         return take;
     p->left -= take;
     if (p->left == 0)
-        enter(p, p->state == RP_HTTP_CHUNK_DATA ? RP_HTTP_CHUNK_END : RP_HTTP_DONE);
+        set_state(p, p->state == RP_HTTP_CHUNK_DATA ? RP_HTTP_CHUNK_END : RP_HTTP_DONE);
     return take;
 }
 
@@ -334,7 +334,7 @@
 
 void rp_http_parser_eof(struct rp_http_parser *p) {
     if (p->state == RP_HTTP_BODY_UNTIL_CLOSE)
-        enter(p, RP_HTTP_DONE);
+        set_state(p, RP_HTTP_DONE);
     else if (p->state != RP_HTTP_DONE)
         fail(p, 400);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -163,7 +163,7 @@
 /* ---- leading ---- */
 
 /* The one place where the node changes its state. */
-static void enter(struct rp_node *n, enum rp_node_state at) {
+static void set_state(struct rp_node *n, enum rp_node_state at) {
     n->at = at;
     n->workers.ready = at == RP_NODE_LEADING;
     rp_timer_cancel(n->loop, &n->retry_timer);
@@ -195,11 +195,11 @@
 }
 
 static void on_elected(void *arg) {
-    enter(arg, RP_NODE_RECOVERING);
+    set_state(arg, RP_NODE_RECOVERING);
 }
 
 static void on_lost(void *arg) {
-    enter(arg, RP_NODE_FOLLOWING);
+    set_state(arg, RP_NODE_FOLLOWING);
 }
 
 static void on_loaded(void *arg, bool ok) {
@@ -213,7 +213,7 @@
 static void on_fleet_loaded(void *arg, bool ok) {
     struct rp_node *n = arg;
     if (ok)
-        enter(n, RP_NODE_LEADING);
+        set_state(n, RP_NODE_LEADING);
     else
         rp_timer_set(n->loop, &n->retry_timer, 0.3);
 }
@@ -225,7 +225,7 @@
     if (!rp_election_valid(&n->election, rp_loop_now(n->loop)))
         rp_timer_set(n->loop, &n->retry_timer, 0.3);
     else
-        enter(n, RP_NODE_RECOVERING);
+        set_state(n, RP_NODE_RECOVERING);
 }
 
 static void on_closed(void *arg, struct rp_job *job) {
--- a/src/room.c
+++ b/src/room.c
@@ -9,7 +9,7 @@
 #define MOVE_S 10         /* stopping a task here and starting it there */
 #define RESERVE_SLACK_S 6 /* after the estimated end of what a reservation waits for */
 #define HOLDER_WORTH_S 15 /* a fetch this long is worth freeing a machine with the image */
-#define EMPTIED_OF 40     /* one machine, and one more of so many, may be emptied at a time */
+#define DRAINING_OF 40    /* one machine, and one more of so many, may be draining at a time */
 #define GATHER_MAX_S 60   /* a machine that isn't free by then isn't kept for a gang */
 #define ONES_OF 8         /* of so many machines one may be kept for a gang of one task */
 #define GATHER_ONE_S 45   /* a gang of one task has waited for so long before one is kept for it */
@@ -18,7 +18,7 @@
 #define SOON_S 8          /* room that comes by itself this soon is waited for */
 #define MOVE_AGAIN_S 60   /* a replica that came so recently isn't moved again */
 #define MOVE_PART 0.25    /* of a machine that its replicas may hold at most for them to be moved */
-#define MOVE_EVERY_S 20   /* such machines are emptied one after the other */
+#define MOVE_EVERY_S 20   /* such machines are drained one after the other */
 #define STAYS_S 300       /* how much longer a replica is expected to be wanted */
 
 /* A gang of one task that has room made for it by priority doesn't need it kept. */
@@ -445,7 +445,7 @@
  * to move. */
 struct rooms {
     struct rp_resources *free;
-    bool *source; /* machines being emptied: nothing moves there */
+    bool *source; /* machines being drained: nothing moves there */
     size_t n;
 };
 
@@ -520,10 +520,10 @@
 }
 
 /* What is saved if the machine's tasks go elsewhere; negative when they can't, or needn't. */
-static double empty_saving(const struct rp_round *r, const struct rp_round_input *x,
+static double drain_saving(const struct rp_round *r, const struct rp_round_input *x,
                            struct rooms *rooms, const struct rp_machine *m, struct timespec now) {
     double price = rp_fleet_price(rp_round_catalog(r), m->type, m->spot), busy = 0;
-    if (!rp_machine_usable(m) || rp_machine_idle(m) || m->emptied || type_wanted(x, m->type) ||
+    if (!rp_machine_usable(m) || rp_machine_idle(m) || m->draining || type_wanted(x, m->type) ||
         rp_room_reserved_for(r, m))
         return -1;
     const struct rp_resources *capacity = &rp_round_catalog(r)->types[m->type].capacity;
@@ -558,27 +558,27 @@
     return more >= 0 && saving > price * MOVE_S ? saving : -1;
 }
 
-/* The room now, less what the machines being emptied already move elsewhere: the room found for one
+/* The room now, less what the machines being drained already move elsewhere: the room found for one
  * machine's tasks must not be found twice. Returns how many these are. */
 static size_t rooms_fill(const struct rp_round *r, struct rooms *rooms, struct timespec now) {
     size_t at = 0, moving = 0;
     for (const struct rp_machine *m = r->cluster->first; m; m = m->next, at++) {
         rooms->free[at] = rp_machine_free(r->cluster, m);
-        rooms->source[at] = m->emptied;
-        moving += m->emptied;
+        rooms->source[at] = m->draining;
+        moving += m->draining;
     }
     for (const struct rp_machine *m = r->cluster->first; m; m = m->next)
-        if (m->emptied)
+        if (m->draining)
             (void)move_price(r, rooms, m, now);
     return moving;
 }
 
-static void empty_one(struct rp_round *r, struct rooms *rooms, struct rp_machine *m, size_t at,
+static void drain_one(struct rp_round *r, struct rooms *rooms, struct rp_machine *m, size_t at,
                       struct timespec now) {
     rp_info("machine %s is emptied: tasks=%zu fit elsewhere", m->name, m->n_allocations);
     (void)move_price(r, rooms, m, now);
     rooms->source[at] = true;
-    m->emptied = true;
+    m->draining = true;
     for (size_t i = 0; i < m->n_allocations; i++) {
         const struct rp_job_spec *spec = &m->allocations[i].job->spec;
         if (m->allocations[i].state == RP_ALLOCATION_EXITED)
@@ -595,20 +595,20 @@
  * they fit on machines that are kept anyway, and nothing waits for the room, they are stopped with
  * their progress saved, and the machine goes back: one at a time of a small fleet, more of a large
  * one. */
-void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
+void rp_room_drain_machines(struct rp_round *r, const struct rp_round_input *x,
                             struct timespec now) {
     struct rooms rooms = {.n = r->cluster->n_machines};
     rooms.free = calloc(rooms.n + 1, sizeof *rooms.free);
     rooms.source = calloc(rooms.n + 1, sizeof *rooms.source);
     if (!rooms.free || !rooms.source)
         goto out;
-    size_t most = 1 + rooms.n / EMPTIED_OF, moving = rooms_fill(r, &rooms, now);
+    size_t most = 1 + rooms.n / DRAINING_OF, moving = rooms_fill(r, &rooms, now);
     while (moving < most) {
         struct rp_machine *best = NULL;
         double best_saving = 0;
         size_t best_at = 0, at = 0;
         for (struct rp_machine *m = r->cluster->first; m; m = m->next, at++) {
-            double saving = empty_saving(r, x, &rooms, m, now);
+            double saving = drain_saving(r, x, &rooms, m, now);
             if (saving > best_saving) {
                 best = m;
                 best_saving = saving;
@@ -617,7 +617,7 @@
         }
         if (!best)
             break;
-        empty_one(r, &rooms, best, best_at, now);
+        drain_one(r, &rooms, best, best_at, now);
         moving++;
     }
 out:
--- a/src/room.h
+++ b/src/room.h
@@ -1,4 +1,4 @@
-/* What no plan does: gangs that lost a task, room made for work that finds none, machines emptied
+/* What no plan does: gangs that lost a task, room made for work that finds none, machines drained
  * at the end of a load. */
 #ifndef RP_ROOM_H
 #define RP_ROOM_H
@@ -18,7 +18,7 @@
                      struct timespec now);
 void rp_room_gather(struct rp_round *r, const struct rp_round_input *x, const struct rp_plan *plan,
                     struct timespec now);
-void rp_room_empty_machines(struct rp_round *r, const struct rp_round_input *x,
+void rp_room_drain_machines(struct rp_round *r, const struct rp_round_input *x,
                             struct timespec now);
 
 #endif
--- a/src/round.c
+++ b/src/round.c
@@ -219,7 +219,7 @@
         hold_ready(r, &x, &plan);
         rp_room_preempt(r, &x, &plan, now);
         rp_room_gather(r, &x, &plan, now);
-        rp_room_empty_machines(r, &x, now);
+        rp_room_drain_machines(r, &x, now);
     }
     apply_returns(r, &x, &plan, now);
     r->took_s = rp_ts_since(rp_loop_now(r->loop), now);
--- a/src/round.h
+++ b/src/round.h
@@ -24,7 +24,7 @@
     unsigned long n_over_bounds; /* rounds that left jobs out */
     unsigned long n_looks;       /* machines looked at by plans */
     struct timespec last;
-    struct timespec replicas_moved;          /* when a machine with replicas was last emptied */
+    struct timespec replicas_moved;          /* when a machine with replicas was last drained */
     struct rp_resources whole[RP_TYPES_MAX]; /* what its GPU work takes of a type when full */
     bool short_of_room[2];                   /* as the last plan said */
     double took_s;                           /* the last round's own time */
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include "blame.h"
+#include "task_errors.h"
 #include "log.h"
 #include "room.h"
 
@@ -175,8 +175,8 @@
         return false;
     if (m->state == RP_MACHINE_BOOTING)
         return rp_ts_since(now, m->rented) < rp_round_catalog(r)->types[m->type].boot_s * OVERDUE;
-    return m->state == RP_MACHINE_UP && !m->faulty && !m->suspect && !m->noticed && !m->emptied &&
-           !rp_machine_deaf(m);
+    return m->state == RP_MACHINE_UP && !m->faulty && !m->suspect && !m->noticed && !m->draining &&
+           !rp_machine_misses_answers(m);
 }
 
 /* What the GPU work known now takes of a machine that it fills: a task that takes all GPUs what it
@@ -252,7 +252,7 @@
     uint32_t left = taken < job->spec.n_tasks ? job->spec.n_tasks - taken : 0;
     /* What fails wherever it is started costs little until its user calls it off. */
     uint32_t most = job->n_counted < SUSPECT_TASKS ? SUSPECT_TASKS - job->n_counted : 0;
-    return rp_blame_job_suspect(job) && left > most ? most : left;
+    return rp_task_errors_job_suspect(job) && left > most ? most : left;
 }
 
 static void allowed_types(const struct rp_round *r, const struct rp_job_spec *spec,
--- a/src/services.c
+++ b/src/services.c
@@ -216,7 +216,7 @@
 /* What speaks against the machine, in seconds; negative: it can't take the task. */
 static double price_of(const struct rp_services *s, struct rp_machine *m, const struct rp_job *job,
                        struct timespec now) {
-    if (!rp_machine_usable(m) || m->emptied || kept(m, now) || !fresh(s, m, now) ||
+    if (!rp_machine_usable(m) || m->draining || kept(m, now) || !fresh(s, m, now) ||
         !rp_cluster_allows(s->cluster, &job->spec, m->type, m->zone, m->spot))
         return -1;
     double lost = room_price(s, m, job, now);
@@ -356,7 +356,7 @@
 double rp_services_ready_cpus(const struct rp_services *s, const struct rp_machine *without) {
     double cpus = 0;
     for (const struct rp_machine *m = s->cluster->first; m; m = m->next) {
-        if (m == without || m->type < 0 || m->spot || m->emptied ||
+        if (m == without || m->type < 0 || m->spot || m->draining ||
             s->catalog->types[m->type].capacity.gpus > 0)
             continue;
         if (m->state == RP_MACHINE_BOOTING)
@@ -462,7 +462,7 @@
     return false;
 }
 
-/* A machine that is being emptied, or is faulty, loses its replicas one by one: the next is stopped
+/* A machine that is draining, or is faulty, loses its replicas one by one: the next is stopped
  * once all are running again, and only if another machine holds its image and has room. (Stopped
  * all together, by the room that a round had seen, the last ones found it taken, and waited for a
  * machine to boot.) */
@@ -476,7 +476,7 @@
             rp_allocation_stop(allocation, 0);
             s->n_moved++;
         } else {
-            m->emptied = false; /* it stays */
+            m->draining = false; /* it stays */
         }
         return;
     }
@@ -486,7 +486,7 @@
     if (any_unsteady(s))
         return;
     for (struct rp_machine *m = s->cluster->first; m; m = m->next)
-        if (m->state == RP_MACHINE_UP && (m->emptied || m->faulty) && holds_replicas(m)) {
+        if (m->state == RP_MACHINE_UP && (m->draining || m->faulty) && holds_replicas(m)) {
             drain(s, m, now);
             return;
         }
--- a/src/blame.c
+++ b/src/task_errors.c
@@ -1,4 +1,4 @@
-#include "blame.h"
+#include "task_errors.h"
 
 #include <math.h>
 #include <string.h>
@@ -15,11 +15,11 @@
     return job->n_done > 0 || (job->spec.kind == RP_SERVICE && job->n_running > 0);
 }
 
-bool rp_blame_job_suspect(const struct rp_job *job) {
+bool rp_task_errors_job_suspect(const struct rp_job *job) {
     return job->n_error_on >= JOB_SUSPECT && !works(job);
 }
 
-bool rp_blame_note(struct rp_job *job, const struct rp_machine *m) {
+bool rp_task_errors_note(struct rp_job *job, const struct rp_machine *m) {
     for (unsigned i = 0; i < job->n_error_on; i++)
         if (strcmp(job->error_on[i], m->name) == 0)
             return false;
@@ -29,8 +29,8 @@
 }
 
 static void forgive(struct rp_machine *m) {
-    m->errors_row = m->n_witnesses = 0;
-    m->witness = 0;
+    m->errors_row = m->n_error_jobs = 0;
+    m->last_error_job = 0;
     m->suspect = false;
 }
 
@@ -51,16 +51,16 @@
 
 /* One job's errors are no proof: jobs with a mistake had every third good machine they met given
  * back, with its images (incident 4d52). Two jobs' are, or one's whose tasks end well elsewhere. */
-void rp_blame_machine(struct rp_cluster *p, const struct rp_job *job, struct rp_machine *m,
-                      struct timespec now) {
+void rp_task_errors_count(struct rp_cluster *p, const struct rp_job *job, struct rp_machine *m,
+                          struct timespec now) {
     m->errors_row++;
-    if (m->witness != rp_text_hash(job->spec.id)) {
-        m->witness = rp_text_hash(job->spec.id);
-        m->n_witnesses++;
+    if (m->last_error_job != rp_text_hash(job->spec.id)) {
+        m->last_error_job = rp_text_hash(job->spec.id);
+        m->n_error_jobs++;
     }
     if (m->errors_row < p->settings->tuning.faulty_after)
         return;
-    if (works(job) || m->n_witnesses >= 2) {
+    if (works(job) || m->n_error_jobs >= 2) {
         condemn(p, m, job);
     } else {
         m->suspect = true;
@@ -72,17 +72,17 @@
 static void clear_machines(struct rp_cluster *p, const struct rp_job *job) {
     for (unsigned i = 0; i < job->n_error_on; i++) {
         struct rp_machine *m = rp_machine_find(p, job->error_on[i]);
-        if (m && m->n_witnesses <= 1 && m->witness == rp_text_hash(job->spec.id))
+        if (m && m->n_error_jobs <= 1 && m->last_error_job == rp_text_hash(job->spec.id))
             forgive(m);
     }
 }
 
-void rp_blame_error(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m,
-                    struct timespec now) {
-    (void)rp_blame_note(job, m);
-    if (!rp_blame_job_suspect(job)) {
+void rp_task_errors_failure(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m,
+                            struct timespec now) {
+    (void)rp_task_errors_note(job, m);
+    if (!rp_task_errors_job_suspect(job)) {
         job->held_until = rp_ts_after(now, PAUSE_S);
-        rp_blame_machine(p, job, m, now);
+        rp_task_errors_count(p, job, m, now);
         return;
     }
     clear_machines(p, job);
@@ -93,7 +93,7 @@
     job->held_until = rp_ts_after(now, pause);
 }
 
-void rp_blame_success(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m) {
+void rp_task_errors_success(struct rp_cluster *p, struct rp_job *job, struct rp_machine *m) {
     forgive(m);
     job->pauses = 0;
     if (job->n_done != 1)
@@ -105,7 +105,7 @@
     }
 }
 
-void rp_blame_step(struct rp_machine *m, struct timespec now) {
+void rp_task_errors_step(struct rp_machine *m, struct timespec now) {
     if (m->suspect && rp_ts_reached(now, m->suspect_until))
         m->suspect = false;
 }
--- a/src/upgrade.c
+++ b/src/upgrade.c
@@ -40,7 +40,7 @@
 }
 
 /* The one place where it changes its state. What is active stays so. */
-static void enter(struct rp_upgrade *u, enum rp_upgrade_state at) {
+static void set_state(struct rp_upgrade *u, enum rp_upgrade_state at) {
     if (u->at == at || u->at >= RP_UPGRADE_ACTIVE)
         return;
     u->at = at;
@@ -59,7 +59,7 @@
 
 void rp_upgrade_read(struct rp_upgrade *u, const json_t *record) {
     if (record && rp_record_format(record) >= RP_FORMAT)
-        enter(u, rp_record_format(record) > RP_FORMAT ? RP_UPGRADE_TOO_OLD : RP_UPGRADE_ACTIVE);
+        set_state(u, rp_record_format(record) > RP_FORMAT ? RP_UPGRADE_TOO_OLD : RP_UPGRADE_ACTIVE);
 }
 
 /* ---- this node's record ---- */
@@ -70,7 +70,7 @@
         return;
     if (r->outcome == RP_STATE_BAD)
         u->lease = 0; /* it has ended meanwhile */
-    enter(u, r->outcome == RP_STATE_OK ? RP_UPGRADE_ANNOUNCED : RP_UPGRADE_LOOKING);
+    set_state(u, r->outcome == RP_STATE_OK ? RP_UPGRADE_ANNOUNCED : RP_UPGRADE_LOOKING);
 }
 
 static void announce(struct rp_upgrade *u) {
@@ -78,7 +78,7 @@
     json_t *txn = rp_wire_txn();
     rp_key(key, RP_KEY_VERSION, u->settings->node);
     rp_wire_txn_put(txn, key, rp_record_version(u->settings->node), u->lease);
-    enter(u, RP_UPGRADE_ANNOUNCING);
+    set_state(u, RP_UPGRADE_ANNOUNCING);
     rp_state_txn(u->state, RP_SHARE_LEADERSHIP, txn, announced, u);
 }
 
@@ -86,7 +86,7 @@
     struct rp_upgrade *u = arg;
     if (u->at != RP_UPGRADE_LEASING)
         return;
-    enter(u, RP_UPGRADE_LOOKING);
+    set_state(u, RP_UPGRADE_LOOKING);
     if (r->outcome != RP_STATE_OK || !rp_wire_lease(r->body))
         return;
     u->lease = rp_wire_lease(r->body);
@@ -99,7 +99,7 @@
     if (r->outcome != RP_STATE_MISSING || u->at != RP_UPGRADE_ANNOUNCED)
         return;
     u->lease = 0;
-    enter(u, RP_UPGRADE_LOOKING);
+    set_state(u, RP_UPGRADE_LOOKING);
 }
 
 /* ---- the activation ---- */
@@ -109,7 +109,7 @@
     u->activating = false;
     if (r->outcome == RP_STATE_OK) {
         rp_info("every node knows format %d: activated", RP_FORMAT);
-        enter(u, RP_UPGRADE_ACTIVE);
+        set_state(u, RP_UPGRADE_ACTIVE);
     }
 }
 
@@ -184,7 +184,7 @@
     if (u->at == RP_UPGRADE_LOOKING && u->lease) {
         announce(u);
     } else if (u->at == RP_UPGRADE_LOOKING) {
-        enter(u, RP_UPGRADE_LEASING);
+        set_state(u, RP_UPGRADE_LEASING);
         rp_state_lease(u->state, LEASE_S, leased, u);
     } else if (u->at == RP_UPGRADE_ANNOUNCED && rp_ts_since(now, u->touched) >= TOUCH_S) {
         u->touched = now;
--- a/src/workers.c
+++ b/src/workers.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
-#include "blame.h"
+#include "task_errors.h"
 #include "log.h"
 #include "wire.h"
 
@@ -17,8 +17,9 @@
 #define REPORT_SLACK_S 0.75 /* of a report's time on its way */
 /* A machine from before the takeover has shown our token by then, if answers reach it. */
 #define TOKEN_PATIENCE_S 8.0
-#define SEEK_S 3.7 /* a report waits so long for a leader to be known: less than ANSWER_WAIT_S */
-#define SEEK_STEP_S 0.1
+#define WAIT_FOR_LEADER_S                                                                          \
+    3.7 /* a report waits so long for a leader to be known: less than ANSWER_WAIT_S */
+#define WAIT_STEP_S 0.1
 #define PROBE_S 0.7  /* for the answer to a question */
 #define DIRECT_S 1.0 /* for the answer to a direct command */
 #define DIRECT_KEPT                                                                                \
@@ -28,7 +29,7 @@
 #define REPLICA_PAUSE_S 0.5
 #define REPLICA_PAUSE_MAX_S 30.0
 
-static void seek_due(void *arg);
+static void waiting_due(void *arg);
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
                      struct rp_cluster *cluster, struct rp_jobs *jobs, struct rp_fleet *fleet,
@@ -43,7 +44,7 @@
     w->jobs = jobs;
     w->fleet = fleet;
     w->settings = settings;
-    w->seek_timer = (struct rp_timer){.fn = seek_due, .arg = w};
+    w->waiting_timer = (struct rp_timer){.fn = waiting_due, .arg = w};
 }
 
 double rp_workers_lease_s(const struct rp_settings *settings) {
@@ -65,12 +66,12 @@
 
 /* A report that waits here for a leader. The connection may go meanwhile, and its buffer with it.
  */
-struct rp_seeker {
+struct rp_waiting_report {
     struct rp_request *req;
     struct timespec until;
     char *body;
     size_t len;
-    struct rp_seeker *next;
+    struct rp_waiting_report *next;
 };
 
 /* Sent away without a name, a worker tries node after node, a second each and four at one that
@@ -82,31 +83,31 @@
     return !w->ready && coming && rp_state_failing_s(e->state) <= 0;
 }
 
-static void seek(struct rp_workers *w, struct rp_request *req) {
-    struct rp_seeker *s = calloc(1, sizeof *s);
+static void wait_for_leader(struct rp_workers *w, struct rp_request *req) {
+    struct rp_waiting_report *s = calloc(1, sizeof *s);
     if (!s || !(s->body = malloc(req->len + 1)))
         abort(); /* out of memory: a restart is the honest answer */
     memcpy(s->body, req->body, req->len);
     s->req = req;
     s->len = req->len;
-    s->until = rp_ts_after(rp_loop_now(w->loop), SEEK_S);
-    s->next = w->seekers;
-    w->seekers = s;
-    if (!w->seek_timer.heap_index)
-        rp_timer_set(w->loop, &w->seek_timer, SEEK_STEP_S);
+    s->until = rp_ts_after(rp_loop_now(w->loop), WAIT_FOR_LEADER_S);
+    s->next = w->waiting_reports;
+    w->waiting_reports = s;
+    if (!w->waiting_timer.heap_index)
+        rp_timer_set(w->loop, &w->waiting_timer, WAIT_STEP_S);
 }
 
-static void seek_due(void *arg) {
+static void waiting_due(void *arg) {
     struct rp_workers *w = arg;
     struct timespec now = rp_loop_now(w->loop);
     bool wait = may_come_soon(w, now);
-    struct rp_seeker *list = w->seekers, *s;
-    w->seekers = NULL;
+    struct rp_waiting_report *list = w->waiting_reports, *s;
+    w->waiting_reports = NULL;
     while ((s = list)) {
         list = s->next;
         if (wait && !rp_ts_reached(now, s->until)) {
-            s->next = w->seekers;
-            w->seekers = s;
+            s->next = w->waiting_reports;
+            w->waiting_reports = s;
             continue;
         }
         s->req->body = s->body;
@@ -118,8 +119,8 @@
         free(s->body);
         free(s);
     }
-    if (w->seekers)
-        rp_timer_set(w->loop, &w->seek_timer, SEEK_STEP_S);
+    if (w->waiting_reports)
+        rp_timer_set(w->loop, &w->waiting_timer, WAIT_STEP_S);
 }
 
 /* Every answer renews a lease, and so lets what runs there run on: only a leader whose lease is
@@ -140,16 +141,16 @@
     return NULL;
 }
 
-static void add_foreign(struct rp_workers *w, struct rp_machine *m,
-                        const struct rp_task_report *t) {
-    struct rp_foreign f = {
+static void add_unknown_task(struct rp_workers *w, struct rp_machine *m,
+                             const struct rp_task_report *t) {
+    struct rp_unknown_task f = {
         .task = t->task, .attempt = t->attempt, .exited = t->state == RP_TASK_EXITED};
     strcpy(f.job, t->job);
-    if (rp_machine_add_foreign(w->cluster, m, &f))
+    if (rp_machine_add_unknown_task(w->cluster, m, &f))
         return;
     /* The machine gets no work while it has any, so the rest is stopped from a later report. */
     if (w->n_over_bounds++ == 0)
-        rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_FOREIGN_KEPT);
+        rp_error("machine %s holds over %d tasks of unknown jobs", m->name, RP_UNKNOWN_TASKS_KEPT);
 }
 
 /* A replica that ended by itself runs again elsewhere at once. One that ended soon after its start
@@ -168,10 +169,10 @@
     }
     unsigned before = job->n_error_on;
     bool held = !rp_ts_reached(now, job->held_until);
-    if (!rp_blame_note(job, m) && held)
+    if (!rp_task_errors_note(job, m) && held)
         return;
-    if (!rp_blame_job_suspect(job) && allocation->why == RP_EXIT_ERROR)
-        rp_blame_machine(w->cluster, job, m, now);
+    if (!rp_task_errors_job_suspect(job) && allocation->why == RP_EXIT_ERROR)
+        rp_task_errors_count(w->cluster, job, m, now);
     job->ends_row++;
     double pause = before == 0 ? 0 : ldexp(REPLICA_PAUSE_S, (int)fmin(job->ends_row, 8) - 2);
     job->held_until = rp_ts_after(now, fmin(pause, REPLICA_PAUSE_MAX_S));
@@ -191,11 +192,11 @@
         if (ran)
             rp_jobs_observe(w->jobs, job, rp_ts_since(now, allocation->running));
         rp_jobs_task_done(w->jobs, job, allocation->task);
-        rp_blame_success(w->cluster, job, m);
+        rp_task_errors_success(w->cluster, job, m);
         break;
     case RP_EXIT_ERROR:
         if (job->spec.kind != RP_SERVICE)
-            rp_blame_error(w->cluster, job, m, now);
+            rp_task_errors_failure(w->cluster, job, m, now);
         break;
     case RP_EXIT_NO_ROOM:
     case RP_EXIT_BUSY:
@@ -210,7 +211,7 @@
 static void read_task(struct rp_workers *w, struct rp_machine *m, const struct rp_task_report *t) {
     struct rp_job *job = rp_jobs_find(w->jobs, t->job);
     if (!job || t->task >= job->spec.n_tasks) {
-        add_foreign(w, m, t);
+        add_unknown_task(w, m, t);
         return;
     }
     struct rp_allocation *allocation = find_allocation(m, job, t->task, t->attempt);
@@ -226,13 +227,13 @@
     if (allocation->state == RP_ALLOCATION_EXITED)
         return;
     if (t->state == RP_TASK_EXITED) {
-        rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_EXITED);
+        rp_allocation_set_state(w->cluster, m, allocation, RP_ALLOCATION_EXITED);
         allocation->task_state = t->state;
         allocation->why = t->why;
         task_exited(w, m, allocation);
         return;
     }
-    rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_SEEN);
+    rp_allocation_set_state(w->cluster, m, allocation, RP_ALLOCATION_SEEN);
     if (t->state == RP_TASK_RUNNING && allocation->task_state != RP_TASK_RUNNING) {
         job->n_running++;
         allocation->running = rp_loop_now(w->loop);
@@ -271,11 +272,11 @@
                    r->seq <= m->report_seq + 1 + m->n_direct &&
                    rp_ts_since(now, m->last_report) < limit;
     if (first || follows) {
-        if (rp_machine_deaf(m) && rp_ts_since(now, m->deaf_since) > ANSWER_WAIT_S)
+        if (rp_machine_misses_answers(m) && rp_ts_since(now, m->answers_lost_since) > ANSWER_WAIT_S)
             rp_info("machine %s gets answers again", m->name);
-        m->deaf_since = (struct timespec){0};
-    } else if (!rp_machine_deaf(m)) {
-        m->deaf_since = now;
+        m->answers_lost_since = (struct timespec){0};
+    } else if (!rp_machine_misses_answers(m)) {
+        m->answers_lost_since = now;
         rp_debug("machine %s: nothing shows that it gets answers", m->name);
     }
 }
@@ -358,7 +359,7 @@
         mark_listed(w, m, r);
     } else {
         m->seq = r->seq;
-        rp_machine_clear_foreign(w->cluster, m);
+        rp_machine_clear_unknown_tasks(w->cluster, m);
         for (size_t i = 0; i < r->n_tasks; i++)
             read_task(w, m, &r->tasks[i]);
     }
@@ -367,7 +368,7 @@
     /* Only a report that shows our token proves that no start of an earlier leader is still on
      * its way; until then the machine may hold more than it says. */
     if (m->state != RP_MACHINE_RETURNING && m->token_seen)
-        rp_machine_enter(w->cluster, m, RP_MACHINE_UP);
+        rp_machine_set_state(w->cluster, m, RP_MACHINE_UP);
     rp_fleet_came_up(w->fleet, m);
 }
 
@@ -390,9 +391,9 @@
     c->grace_s = grace_s;
 }
 
-static void command_foreign(struct batch *b, const struct rp_machine *m) {
-    for (size_t i = 0; i < m->n_foreign; i++) {
-        const struct rp_foreign *f = &m->foreign[i];
+static void command_unknown_tasks(struct batch *b, const struct rp_machine *m) {
+    for (size_t i = 0; i < m->n_unknown_tasks; i++) {
+        const struct rp_unknown_task *f = &m->unknown_tasks[i];
         if (f->exited && !m->token_seen)
             continue;
         command(b, f->exited ? RP_OP_FORGET : RP_OP_STOP, f->job, f->task, f->attempt, 0);
@@ -472,7 +473,7 @@
         if (b->n == COMMANDS_MAX)
             return;
         command(b, RP_OP_START, allocation->job->spec.id, allocation->task, allocation->attempt, 0);
-        rp_allocation_enter(w->cluster, m, allocation, RP_ALLOCATION_SENT);
+        rp_allocation_set_state(w->cluster, m, allocation, RP_ALLOCATION_SENT);
         allocation->sent_seq = m->report_seq;
         allocation->direct = allocation->direct_open = direct;
         w->n_starts++;
@@ -550,7 +551,7 @@
     /* What is over is stopped by the very first answer, which renews the lease like any other: a
      * machine that hung right after a first answer without stops ran cancelled work for one more
      * lease; one that was about to go back, while the cloud didn't answer, for ever. */
-    command_foreign(&b, m);
+    command_unknown_tasks(&b, m);
     command_ends(w, &b, m, rp_loop_now(w->loop));
     if (m->token_seen) {
         command_again(w, &b, m);
@@ -819,10 +820,10 @@
     free(w->held);
     w->held = NULL;
     w->n_held = w->cap_held = 0;
-    rp_timer_cancel(w->loop, &w->seek_timer);
-    while (w->seekers) {
-        struct rp_seeker *s = w->seekers;
-        w->seekers = s->next;
+    rp_timer_cancel(w->loop, &w->waiting_timer);
+    while (w->waiting_reports) {
+        struct rp_waiting_report *s = w->waiting_reports;
+        w->waiting_reports = s->next;
         free(s->body);
         free(s);
     }
@@ -832,7 +833,7 @@
     struct rp_report report;
     w->n_reports++;
     if (may_come_soon(w, rp_loop_now(w->loop))) {
-        seek(w, req);
+        wait_for_leader(w, req);
         return;
     }
     if (!w->ready || !may_answer(w, rp_loop_now(w->loop))) {
--- a/src/workers.h
+++ b/src/workers.h
@@ -30,10 +30,11 @@
     void *arg;
     struct rp_held_report *held;
     size_t n_held, cap_held;
-    struct rp_seeker *seekers; /* reports that wait until it is known who leads */
-    struct rp_timer seek_timer;
+    struct rp_waiting_report *waiting_reports; /* reports that wait until it is known who leads */
+    struct rp_timer waiting_timer;
     unsigned long n_reports, n_stale, n_starts;
-    unsigned long n_over_bounds; /* tasks of unknown jobs beyond RP_FOREIGN_KEPT on a machine */
+    unsigned long
+        n_over_bounds; /* tasks of unknown jobs beyond RP_UNKNOWN_TASKS_KEPT on a machine */
 };
 
 void rp_workers_init(struct rp_workers *w, struct rp_loop *loop, struct rp_election *election,
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -810,7 +810,7 @@
     unsigned long rounds = n->round.n_rounds;
     sim_run(s, 8);
     for (const struct rp_machine *m = n->cluster.first; m; m = m->next)
-        assert_false(rp_machine_deaf(m));
+        assert_false(rp_machine_misses_answers(m));
     assert_true(s->n_idle >= 500);
     /* A task's exit is reported after up to 0.5 s and what follows it starts with the answer. */
     assert_true(s->idle_s / (double)s->n_idle < 1.5);
