Progress of a small job is never written beyond its units

Cause: a chunk (the first format's record of progress) whose write failed marked four units as waiting, also of a job that has one. When the activation came before the next write, units that the job doesn't have were written: revisions and results were read and written beyond the job's memory.

--- a/src/jobs.c
+++ b/src/jobs.c
@@ -89,6 +89,11 @@
     return (job->spec.n_tasks + RP_UNIT_TASKS - 1) / RP_UNIT_TASKS;
 }
 
+/* All units of progress that the job has. (It has at most RP_UNITS_MAX, so they fit a bit set.) */
+static uint64_t all_units(const struct rp_job *job) {
+    return (UINT64_C(1) << n_units(job)) - 1;
+}
+
 /* The revision of a record of progress as last written or read; 0: there is none. */
 static uint64_t *saved_rev(struct rp_job *job, unsigned piece, bool unit) {
     return &job->saved_revs[unit ? n_chunks(job) + piece : piece];
@@ -867,7 +872,9 @@
         }
         job->flushing &= ~units_of(piece, unit);
         if (result->outcome != RP_STATE_OK) {
-            job->dirty |= units_of(piece, unit);
+            /* A chunk covers units that a small job doesn't have: written as such after the
+             * activation, they were read and written beyond the job's memory. */
+            job->dirty |= units_of(piece, unit) & all_units(job);
             doubt_saved(job, piece, unit, result);
             if (result->outcome == RP_STATE_UNKNOWN)
                 note_stored(job, piece, unit); /* it may have been written */
