A gang that loses a machine before it has begun gets another one

Cause: nothing is rented for what such a gang misses, and the bound on its attempt began anew with each task that exits as alone.

--- a/src/jobs.h
+++ b/src/jobs.h
@@ -64,6 +64,10 @@
     bool writing; /* the finishing transaction is under way */
     uint64_t image_hash;
     unsigned long held_round; /* the last round in which machines were kept for it */
+    /* Of a gang that hasn't begun: its attempt, when that was first seen incomplete, and since when
+     * there has been no machine for what it misses; zero: there is one, or it is complete. */
+    uint64_t gang_attempt;
+    struct timespec gang_since, machine_missing_since;
     /* Errors: a job that fails on several machines is itself at fault. */
     char error_on[RP_JOB_ERRORS_KEPT][RP_TEXT_MAX];
     unsigned n_error_on;
--- a/src/room.c
+++ b/src/room.c
@@ -92,12 +92,13 @@
     return NULL;
 }
 
-static void replace_task(struct rp_round *r, struct rp_job *job, uint32_t task, uint64_t attempt) {
+/* Returns false when no machine can take the task now. */
+static bool replace_task(struct rp_round *r, struct rp_job *job, uint32_t task, uint64_t attempt) {
     struct rp_machine *last = left_on(r, job, task, attempt), *best = NULL;
     if (last) {
         /* It holds the image by now: it is kept for the task. */
         reserve(r, last, job, 0);
-        return;
+        return false;
     }
     for (struct rp_machine *m = r->cluster->first; m; m = m->next) {
         const struct rp_job *kept = rp_room_reserved_for(r, m);
@@ -113,6 +114,7 @@
     }
     if (best)
         rp_allocation_add(r->cluster, best, job, task, attempt, RP_ALLOCATION_PLANNED);
+    return best;
 }
 
 /* A gang whose tasks still fetch their image or wait for one another is completed by a new start
@@ -122,21 +124,38 @@
 static void mend_gang(struct rp_round *r, struct rp_job *job, struct timespec now) {
     struct attempt a = attempt_of(r, job);
     double patience = r->settings->gang_wait_s * MEND_WAITS;
-    if (a.begun || rp_ts_since(now, a.since) > patience) {
+    bool missing = false;
+    if (job->gang_attempt != a.number) {
+        /* Not the oldest allocation's time: each that exits as alone is followed by a new one. */
+        job->gang_attempt = a.number;
+        job->gang_since = a.since;
+    }
+    if (a.begun || rp_ts_since(now, job->gang_since) > patience) {
         rp_cluster_stop_job(r->cluster, job, 0);
         return;
     }
     for (uint32_t task = 0; task < job->spec.n_tasks; task++)
         if (rp_job_allocations(job, task) == 0)
-            replace_task(r, job, task, a.number);
+            missing |= !replace_task(r, job, task, a.number);
+    if (!missing)
+        job->machine_missing_since = (struct timespec){0};
+    else if (rp_ts_zero(job->machine_missing_since))
+        job->machine_missing_since = now;
+    else if (rp_ts_since(now, job->machine_missing_since) > r->settings->gang_wait_s)
+        /* Machines are rented only for what a plan places, and a gang that holds some is in none:
+         * with no other work about it waited for ever. Stopped, it is planned anew as a whole. */
+        rp_cluster_stop_job(r->cluster, job, 0);
 }
 
 /* After a takeover a gang's tasks are heard of one by one: those not heard of yet are no reason to
  * stop the others (every takeover stopped every gang of several tasks). */
 void rp_room_mend_gangs(struct rp_round *r, struct timespec now) {
     for (struct rp_job *job = r->jobs->first; job; job = job->next)
-        if (job->spec.kind == RP_GANG && job->state == RP_JOB_OPEN && job->n_counted > 0 &&
-            job->n_counted < job->spec.n_tasks && rp_cluster_job_settled(r->cluster, job))
+        if (job->spec.kind != RP_GANG || job->state != RP_JOB_OPEN)
+            continue;
+        else if (job->n_counted == 0 || job->n_counted == job->spec.n_tasks)
+            job->machine_missing_since = (struct timespec){0};
+        else if (rp_cluster_job_settled(r->cluster, job))
             mend_gang(r, job, now);
 }
 
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -394,6 +394,34 @@
     leases_outlive(5, 26, 4, end_leader_apart);
 }
 
+/* A gang of several that loses a machine before it has begun, with no other machine about: none was
+ * rented for what it missed, as no plan had it, and its other tasks waited for ever. */
+static void gang_that_loses_a_machine_begins(void **state) {
+    static const struct sim_faults none = {0};
+    int lost = 0;
+    (void)state;
+    for (unsigned long seed = 80; seed < 83; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        int gang = sim_submit(s, 1, "ensemble", 3, 8, 20, 0);
+        for (int step = 0; step < 1500 && !lost; step++) {
+            sim_run(s, 0.02);
+            for (int i = 0; i < s->size.workers && !lost; i++)
+                if (s->workers[i].used && s->workers[i].up && s->workers[i].n_tasks > 0 &&
+                    s->workers[i].tasks[0].state == RP_TASK_FETCHING) {
+                    s->workers[i].alive = false;
+                    lost++;
+                }
+        }
+        assert_int_equal(lost, 1);
+        assert_false(s->jobs[gang].begun);
+        sim_run(s, 180);
+        assert_string_equal(s->broken, "");
+        assert_true(s->jobs[gang].told_done);
+        sim_free(s);
+        lost = 0;
+    }
+}
+
 /* Every takeover stopped every gang of several tasks, since not all of them had been heard of yet.
  */
 static void takeover_keeps_gangs(void **state) {
@@ -960,6 +988,7 @@
                                        cmocka_unit_test(frozen_leader_is_not_named),
                                        cmocka_unit_test(frozen_leader_while_another_is_silent),
                                        cmocka_unit_test(takeover_while_nodes_refuse_one_another),
+                                       cmocka_unit_test(gang_that_loses_a_machine_begins),
                                        cmocka_unit_test(takeover_keeps_gangs),
                                        cmocka_unit_test(takeover_keeps_images),
                                        cmocka_unit_test(large_gangs_begin_on_a_full_fleet),
