Processes that come back while the cloud is out know the machine types

All processes back at once would have served nobody until the cloud was back. Change: catalog_source stores what the cloud told, and a process that hears nothing from the cloud for 0.7 s reads it.

--- a/src/api.c
+++ b/src/api.c
@@ -323,7 +323,7 @@
         strcpy(why, "unknown team");
         return 422;
     }
-    if (!n->catalog_known) {
+    if (!n->catalog_source.known) {
         strcpy(why, "machine types are not known yet");
         return 503;
     }
--- /dev/null
+++ b/src/catalog_source.c
@@ -0,0 +1,121 @@
+#include "catalog_source.h"
+
+#include <string.h>
+#include "log.h"
+#include "records.h"
+#include "wire.h"
+
+#define CLOUD_RETRY_S 0.5
+#define STORED_AFTER_S 0.7 /* the cloud's own word is preferred, if it comes soon */
+
+static void cloud_due(void *arg);
+static void stored_due(void *arg);
+
+void rp_catalog_source_init(struct rp_catalog_source *source, struct rp_loop *loop,
+                            struct rp_cloud_client *cloud, struct rp_state_client *state,
+                            struct rp_election *election, const struct rp_upgrade *upgrade,
+                            const struct rp_settings *settings, struct rp_catalog *catalog) {
+    memset(source, 0, sizeof *source);
+    source->loop = loop;
+    source->cloud = cloud;
+    source->state = state;
+    source->election = election;
+    source->upgrade = upgrade;
+    source->settings = settings;
+    source->catalog = catalog;
+    source->cloud_timer = (struct rp_timer){.fn = cloud_due, .arg = source};
+    source->stored_timer = (struct rp_timer){.fn = stored_due, .arg = source};
+}
+
+void rp_catalog_source_start(struct rp_catalog_source *source) {
+    rp_timer_set(source->loop, &source->cloud_timer, 0);
+    rp_timer_set(source->loop, &source->stored_timer, STORED_AFTER_S);
+}
+
+void rp_catalog_source_close(struct rp_catalog_source *source) {
+    rp_timer_cancel(source->loop, &source->cloud_timer);
+    rp_timer_cancel(source->loop, &source->stored_timer);
+    json_decref(source->from_cloud);
+    source->from_cloud = NULL;
+}
+
+/* Takes the types over if there are none yet, and `v` has some. */
+static bool take(struct rp_catalog_source *source, const json_t *v, const char *origin) {
+    struct rp_catalog fresh;
+    if (source->known || !rp_wire_catalog_read(v, &fresh))
+        return source->known;
+    *source->catalog = fresh;
+    source->known = true;
+    rp_info("machine types known: %zu, from %s", fresh.n_types, origin);
+    source->on_known(source->arg);
+    return true;
+}
+
+static void cloud_came(void *arg, const struct rp_answer *answer) {
+    struct rp_catalog_source *source = arg;
+    json_t *v = answer->status == 200 ? rp_wire_parse(answer->body, answer->len) : NULL;
+    struct rp_catalog read;
+    if (rp_wire_catalog_read(v, &read)) {
+        source->from_cloud = json_incref(v);
+        (void)take(source, v, "the cloud");
+    } else {
+        rp_timer_set(source->loop, &source->cloud_timer, CLOUD_RETRY_S);
+    }
+    json_decref(v);
+}
+
+static void cloud_due(void *arg) {
+    struct rp_catalog_source *source = arg;
+    rp_cloud_call(source->cloud, RP_CLOUD_URGENT, "GET", RP_PATH_TYPES, NULL, cloud_came, source);
+}
+
+static void stored_came(void *arg, const struct rp_state_result *r) {
+    struct rp_catalog_source *source = arg;
+    struct rp_item item;
+    bool read = r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item) &&
+                rp_record_format(item.value) <= RP_FORMAT;
+    if (!read || !take(source, item.value, "the state service"))
+        rp_timer_set(source->loop, &source->stored_timer, STORED_AFTER_S);
+}
+
+/* A process that came back while the cloud was out took no part in elections and no submissions;
+ * where it had been the leader, its key had to run out, and workers lost their leases. */
+static void stored_due(void *arg) {
+    struct rp_catalog_source *source = arg;
+    if (!source->known)
+        rp_state_get(source->state, RP_SHARE_LEADERSHIP, RP_KEY_CATALOG, stored_came, source);
+}
+
+/* ---- storing ---- */
+
+static void written(void *arg, const struct rp_state_result *r) {
+    (void)arg;
+    if (r->outcome != RP_STATE_OK)
+        rp_debug("the machine types could not be stored"); /* the next leader tries again */
+}
+
+static void compare_came(void *arg, const struct rp_state_result *r) {
+    struct rp_catalog_source *source = arg;
+    struct rp_item item = {0};
+    bool found = r->outcome == RP_STATE_OK && rp_wire_item(r->body, &item);
+    if ((!found && r->outcome != RP_STATE_MISSING) || source->election->at != RP_HOLDING ||
+        !source->from_cloud)
+        return;
+    json_t *record = rp_record_mark(json_copy(source->from_cloud));
+    if ((found && json_equal(record, item.value)) ||
+        rp_record_size(record) > (size_t)(source->settings->state_fit.value_kb * 1024)) {
+        json_decref(record);
+        return;
+    }
+    json_t *txn = rp_wire_txn();
+    rp_election_guard(source->election, txn);
+    rp_wire_txn_if(txn, RP_KEY_CATALOG, found ? item.version : 0);
+    rp_wire_txn_put(txn, RP_KEY_CATALOG, record, 0);
+    rp_state_txn(source->state, RP_SHARE_LEADER, txn, written, source);
+}
+
+/* Before the activation nothing is written that the version before doesn't know. */
+void rp_catalog_source_lead(struct rp_catalog_source *source) {
+    if (source->from_cloud && rp_upgrade_active(source->upgrade))
+        rp_state_get(source->state, RP_SHARE_LEADER, RP_KEY_CATALOG, compare_came, source);
+}
--- a/src/node.c
+++ b/src/node.c
@@ -30,7 +30,7 @@
 static bool on_report_news(void *arg);
 static void room_due(void *arg);
 static void retry_due(void *arg);
-static void catalog_due(void *arg);
+static void on_catalog(void *arg);
 static void summary_due(void *arg);
 static void health_due(void *arg);
 
@@ -47,6 +47,8 @@
     rp_election_init(&n->election, loop, &n->state, s->node, s->tuning.leader_ttl_s,
                      s->tuning.leader_check_s, on_elected, on_lost, n);
     rp_upgrade_init(&n->upgrade, loop, &n->state, &n->election, s, on_format, n);
+    rp_catalog_source_init(&n->catalog_source, loop, &n->cloud, &n->state, &n->election,
+                           &n->upgrade, s, &n->catalog);
     rp_jobs_init(&n->jobs, loop, &n->state, &n->election, &n->upgrade, s);
     if (rp_cluster_init(&n->cluster, loop, &n->jobs, s, &n->catalog) < 0)
         return -1;
@@ -70,7 +72,8 @@
     n->fleet.arg = n;
     n->workers.on_room = on_report_news;
     n->workers.arg = n;
-    n->catalog_timer = (struct rp_timer){.fn = catalog_due, .arg = n};
+    n->catalog_source.on_known = on_catalog;
+    n->catalog_source.arg = n;
     n->summary_timer = (struct rp_timer){.fn = summary_due, .arg = n};
     n->retry_timer = (struct rp_timer){.fn = retry_due, .arg = n};
     n->room_timer = (struct rp_timer){.fn = room_due, .arg = n};
@@ -79,7 +82,7 @@
 }
 
 void rp_node_start(struct rp_node *n) {
-    rp_timer_set(n->loop, &n->catalog_timer, 0);
+    rp_catalog_source_start(&n->catalog_source);
     rp_upgrade_start(&n->upgrade);
     rp_hints_start(&n->hints);
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
@@ -96,7 +99,7 @@
     rp_election_stop(&n->election);
     rp_upgrade_stop(&n->upgrade);
     rp_hints_close(&n->hints);
-    rp_timer_cancel(n->loop, &n->catalog_timer);
+    rp_catalog_source_close(&n->catalog_source);
     rp_timer_cancel(n->loop, &n->summary_timer);
     rp_timer_cancel(n->loop, &n->retry_timer);
     rp_timer_cancel(n->loop, &n->room_timer);
@@ -119,7 +122,7 @@
  * every node knows this version's, it looks more often who leads: so that a free key rather comes
  * to a node that won't be replaced. */
 static void may_lead(struct rp_node *n) {
-    if (!n->catalog_known || !n->upgrade.looked || n->electing ||
+    if (!n->catalog_source.known || !n->upgrade.looked || n->electing ||
         n->upgrade.at == RP_UPGRADE_TOO_OLD)
         return;
     n->electing = true;
@@ -136,28 +139,16 @@
         n->election.check_s = s->tuning.leader_check_s;
         /* Other limits may come at any moment from now on. */
         rp_state_client_limits(&n->state, s->state_fit.rps, s->state_fit.write_rps);
+        if (n->at == RP_NODE_LEADING)
+            rp_catalog_source_lead(&n->catalog_source);
     } else if (!s->tuning.keep_old_forms) {
         n->election.check_s = s->tuning.leader_check_s * EAGER_SHARE;
     }
     may_lead(n);
 }
 
-/* ---- the machine types: without them a node can't judge submissions, nor lead ---- */
-
-static void catalog_came(void *arg, const struct rp_answer *answer) {
-    struct rp_node *n = arg;
-    if (answer->status == 200 && rp_wire_catalog(answer->body, answer->len, &n->catalog)) {
-        n->catalog_known = true;
-        rp_info("machine types known: %zu", n->catalog.n_types);
-        may_lead(n);
-        return;
-    }
-    rp_timer_set(n->loop, &n->catalog_timer, 0.5);
-}
-
-static void catalog_due(void *arg) {
-    struct rp_node *n = arg;
-    rp_cloud_call(&n->cloud, RP_CLOUD_URGENT, "GET", RP_PATH_TYPES, NULL, catalog_came, n);
+static void on_catalog(void *arg) {
+    may_lead(arg);
 }
 
 /* ---- leading ---- */
@@ -188,6 +179,7 @@
     case RP_NODE_LEADING:
         rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->cluster.n_machines);
         rp_hints_lead(&n->hints);
+        rp_catalog_source_lead(&n->catalog_source);
         rp_services_start(&n->services);
         rp_round_start(&n->round);
         break;
@@ -485,7 +477,7 @@
 /* ---- users, workers, health ---- */
 
 bool rp_node_healthy(const struct rp_node *n) {
-    return !n->leaving && n->upgrade.at != RP_UPGRADE_TOO_OLD && n->catalog_known &&
+    return !n->leaving && n->upgrade.at != RP_UPGRADE_TOO_OLD && n->catalog_source.known &&
            n->state.n_ok > 0 && rp_ts_reached(rp_loop_now(n->loop), n->refused_until);
 }
 
--- a/src/node.h
+++ b/src/node.h
@@ -2,6 +2,7 @@
 #ifndef RP_NODE_H
 #define RP_NODE_H
 
+#include "catalog_source.h"
 #include "cloud_client.h"
 #include "election.h"
 #include "final_states.h"
@@ -31,7 +32,7 @@
     const struct rp_settings *settings;
     enum rp_node_state at;
     struct rp_catalog catalog;
-    bool catalog_known;
+    struct rp_catalog_source catalog_source;
     struct rp_state_client state;
     struct rp_job_lookup job_lookup;
     struct rp_final_states final_states;
@@ -46,7 +47,7 @@
     struct rp_round round;
     struct rp_hints hints;
     struct rp_metrics metrics;
-    struct rp_timer catalog_timer, summary_timer, retry_timer;
+    struct rp_timer summary_timer, retry_timer;
     struct timespec summary_asked;
     struct rp_timer room_timer, health_timer;
     struct timespec peer_heard;    /* when another node last answered */
--- a/src/records.h
+++ b/src/records.h
@@ -14,8 +14,9 @@
 #define RP_KEY_RENTAL RP_KEY_ROOT "rental/"     /* rental requests and their machines */
 #define RP_KEY_PART RP_KEY_ROOT "part/" /* the rest of job records that one value can't hold */
 #define RP_KEY_VERSION                                                                             \
-    RP_KEY_ROOT "version/"                 /* nodes that know the format below, while they live */
-#define RP_KEY_FORMAT RP_KEY_ROOT "format" /* that all nodes do; never undone */
+    RP_KEY_ROOT "version/"                   /* nodes that know the format below, while they live */
+#define RP_KEY_FORMAT RP_KEY_ROOT "format"   /* that all nodes do; never undone */
+#define RP_KEY_CATALOG RP_KEY_ROOT "catalog" /* machine types, for when the cloud is out */
 #define RP_KEY_MAX 200
 
 /* The format of what is stored. 1: version 0.1.0, whose records don't name it. 2: since 0.2.0, once
--- a/src/wire.c
+++ b/src/wire.c
@@ -370,8 +370,7 @@
     return r.ok;
 }
 
-bool rp_wire_catalog(const char *body, size_t len, struct rp_catalog *out) {
-    json_t *v = rp_wire_parse(body, len);
+bool rp_wire_catalog_read(const json_t *v, struct rp_catalog *out) {
     json_t *types = json_object_get(v, "frames");
     bool ok = json_is_array(types);
     memset(out, 0, sizeof *out);
@@ -380,10 +379,16 @@
         ok = read_type(json_array_get(types, i), out, &type);
         out->types[out->n_types++] = type;
     }
-    json_decref(v);
     return ok && out->n_types > 0;
 }
 
+bool rp_wire_catalog(const char *body, size_t len, struct rp_catalog *out) {
+    json_t *v = rp_wire_parse(body, len);
+    bool ok = rp_wire_catalog_read(v, out);
+    json_decref(v);
+    return ok;
+}
+
 char *rp_wire_rent(const char *request, const char *type, const char *zone, bool spot,
                    unsigned count) {
     return dump(json_pack("{s:s,s:s,s:s,s:b,s:i}", "hire", request, "frame", type, "yard", zone,
--- a/src/wire.h
+++ b/src/wire.h
@@ -41,6 +41,10 @@
 char *rp_wire_not_here(const char *leader);
 
 /* ---- cloud ---- */
+/* Machine types as the cloud tells them, which is also their stored form; false when there are
+ * none.
+ */
+bool rp_wire_catalog_read(const json_t *v, struct rp_catalog *out);
 bool rp_wire_catalog(const char *body, size_t len, struct rp_catalog *out);
 char *rp_wire_rent(const char *request, const char *type, const char *zone, bool spot,
                    unsigned count);
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -387,6 +387,24 @@
     sim_crash(s, sim_leader(s), 40);
 }
 
+static void end_all_without_the_cloud(struct sim *s) {
+    s->cloud_out_until = s->now + 60;
+    for (int i = 0; i < s->n_nodes; i++)
+        sim_crash(s, i, 3);
+    int job = sim_submit(s, s->now + 6, "sweep", 2, 1, 20, 0);
+    sim_run(s, 10);
+    assert_true(sim_leader(s) >= 0);
+    assert_true(s->jobs[job].accepted);
+}
+
+/* Without the machine types, which the cloud tells, a node takes part in no election and accepts
+ * nothing: processes that came back while the cloud was out waited for its return, and workers
+ * lost their leases meanwhile. */
+static void return_while_the_cloud_is_out(void **state) {
+    (void)state;
+    leases_outlive(3, 70, 3, end_all_without_the_cloud);
+}
+
 /* Nodes that can't connect to one another still know who leads, by the key: a refused connection
  * says nothing of the leader, and workers are named the next one. */
 static void takeover_while_nodes_refuse_one_another(void **state) {
@@ -987,6 +1005,7 @@
                                        cmocka_unit_test(lonely_leader_lets_workers_go),
                                        cmocka_unit_test(frozen_leader_is_not_named),
                                        cmocka_unit_test(frozen_leader_while_another_is_silent),
+                                       cmocka_unit_test(return_while_the_cloud_is_out),
                                        cmocka_unit_test(takeover_while_nodes_refuse_one_another),
                                        cmocka_unit_test(gang_that_loses_a_machine_begins),
                                        cmocka_unit_test(takeover_keeps_gangs),
