Teams' guarantees: their work goes first, and others' beyond their own makes way

Need: cpus and gpus of a team's settings ordered nothing. Not done: nothing is stopped for gangs of several tasks. Tests: plan.guaranteed_work_goes_first; sim.guarantee_is_given, seen to fail without the stops (first job not done after 55 s).

--- /dev/null
+++ b/src/guarantees.h
@@ -0,0 +1,13 @@
+/* Teams' guarantees: while a team's unfinished work fits within its guarantee it waits for no other
+ * team. What others run beyond their own guarantees is stopped for it, whatever its priority. */
+#ifndef RP_GUARANTEES_H
+#define RP_GUARANTEES_H
+
+#include "round_input.h"
+
+/* Stops other teams' work for guaranteed tasks that the plan has no room for now. Gangs of several
+ * tasks are left to rp_room_gather, which keeps machines for one at a time. */
+void rp_guarantees_enforce(struct rp_round *r, const struct rp_round_input *x,
+                           const struct rp_plan *plan, struct timespec now);
+
+#endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -361,6 +361,8 @@
 
 static int group_rank(const struct run *r, size_t group) {
     const struct rp_plan_group *g = &r->in->groups[group];
+    if (g->guaranteed)
+        return -3 * (RP_PRODUCTION + 1);
     /* Priority comes before every order: work never waits for work of a lower priority. */
     return -3 * (int)g->priority + (g->begin && r->plan->short_of_room[on_gpus(g)] ? 0
                                     : r->given_up[group]                           ? 2
@@ -821,7 +823,7 @@
     try_spare(r, pl);
     try_machines(r, pl, true);
     try_fresh(r, pl);
-    if (pl->left > 0 && can_wait(r, pl))
+    if (pl->left > 0 && !pl->g->guaranteed && can_wait(r, pl))
         return;
     while (pl->left > 0 && !r->plan->failed) {
         int kind = best_kind(r, pl);
--- a/src/plan.h
+++ b/src/plan.h
@@ -95,6 +95,7 @@
     int fixed_zone; /* the zone its placed tasks are in, -1: none yet */
     uint32_t spread_max;
     uint32_t zone_used[RP_ZONES_MAX];
+    bool guaranteed;       /* fits its team's guarantee: it waits for no other team's work */
     bool held;             /* a machine is being kept for it: only room now is better */
     const bool *has_image; /* for each machine */
 };
--- a/src/round.c
+++ b/src/round.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include "guarantees.h"
 #include "log.h"
 #include "room.h"
 #include "round_input.h"
@@ -217,6 +218,7 @@
     if (rp_cluster_settled(r->cluster)) {
         apply_rentals(r, &x, &plan);
         hold_ready(r, &x, &plan);
+        rp_guarantees_enforce(r, &x, &plan, now);
         rp_room_preempt(r, &x, &plan, now);
         rp_room_gather(r, &x, &plan, now);
         rp_room_drain_machines(r, &x, now);
--- a/src/round_input.c
+++ b/src/round_input.c
@@ -25,6 +25,7 @@
     free(x->has_image);
     free(x->images);
     free(x->ends);
+    free(x->guarantees);
 }
 
 static void build_kinds(struct rp_round *r, struct rp_round_input *x) {
@@ -409,12 +410,40 @@
     }
 }
 
+/* Of the job's `n` tasks those that fit what is left of its team's guarantee, which they take. */
+static uint32_t take_guarantee(struct rp_round_input *x, const struct rp_job *job, uint32_t n) {
+    if (job->team < 0)
+        return 0;
+    struct rp_resources *left = &x->guarantees[job->team];
+    const struct rp_resources *each = &job->spec.each;
+    if (left->cpus <= 0 && left->gpus <= 0)
+        return 0;
+    uint32_t most = job->spec.kind == RP_GANG ? 1 : n, tasks = 0;
+    double needed = job->spec.kind == RP_GANG ? n : 1;
+    while (tasks < most && needed * each->cpus <= left->cpus + 1e-9 &&
+           needed * each->gpus <= left->gpus + 1e-9) {
+        left->cpus -= needed * each->cpus;
+        left->gpus -= needed * each->gpus;
+        tasks++;
+    }
+    return job->spec.kind == RP_GANG ? tasks * n : tasks;
+}
+
 static void add_group(const struct rp_round *r, struct rp_round_input *x, struct rp_job *job,
                       size_t most, struct timespec now) {
     uint32_t n = startable(job);
     bool begun = job->n_done > 0 || job->n_counted > 0;
     if (n == 0 || job->state != RP_JOB_OPEN || !rp_ts_reached(now, job->held_until))
         return;
+    uint32_t guaranteed = take_guarantee(x, job, n);
+    if (guaranteed > 0 && x->in.n_groups < most) {
+        build_group(r, job, guaranteed, &x->groups[x->in.n_groups], now);
+        x->groups[x->in.n_groups++].guaranteed = true;
+        begun = true;
+        n -= guaranteed;
+    }
+    if (n == 0)
+        return;
     /* Large jobs that are given up so that more small ones are in time begin all the same: the
      * users want the first task of every job within four minutes. */
     if (r->short_of_room[job->spec.each.gpus > 0] && !begun && n > 1 &&
@@ -428,12 +457,23 @@
         build_group(r, job, n, &x->groups[x->in.n_groups++], now);
 }
 
+/* What the teams' work takes of their guarantees now is gone; 0 in the settings means none. */
+static bool fill_guarantees(const struct rp_round *r, struct rp_round_input *x) {
+    x->guarantees = calloc(r->settings->n_teams + 1, sizeof *x->guarantees);
+    for (size_t i = 0; x->guarantees && i < r->settings->n_teams; i++) {
+        const struct rp_team *team = &r->settings->teams[i];
+        x->guarantees[i].cpus = fmax(0, team->cpus - r->cluster->team_cpus[i]);
+        x->guarantees[i].gpus = fmax(0, team->gpus - r->cluster->team_gpus[i]);
+    }
+    return x->guarantees;
+}
+
 static void build_groups(struct rp_round *r, struct rp_round_input *x, struct timespec now) {
-    size_t most = r->jobs->n_jobs * 2 < BATCH_MAX ? r->jobs->n_jobs * 2 + 1 : BATCH_MAX;
+    size_t most = r->jobs->n_jobs * 3 < BATCH_MAX ? r->jobs->n_jobs * 3 + 1 : BATCH_MAX;
     x->groups = calloc(most, sizeof *x->groups);
-    if (!x->groups)
+    if (!x->groups || !fill_guarantees(r, x))
         return;
-    if (r->jobs->n_jobs * 2 >= BATCH_MAX && r->n_over_bounds++ == 0)
+    if (r->jobs->n_jobs * 3 >= BATCH_MAX && r->n_over_bounds++ == 0)
         rp_error(
             "more than %d groups of tasks wait: the lowest and youngest are left out of rounds",
             BATCH_MAX);
@@ -469,5 +509,6 @@
     build_machines(r, x, now);
     build_groups(r, x, now);
     build_teams(r, x);
-    return x->kinds && x->machines && x->ends && x->groups && x->teams && x->has_image;
+    return x->kinds && x->machines && x->ends && x->groups && x->teams && x->has_image &&
+           x->guarantees;
 }
--- a/src/round_input.h
+++ b/src/round_input.h
@@ -10,8 +10,9 @@
     struct rp_plan_machine *machines;
     struct rp_plan_group *groups;
     struct rp_plan_team *teams;
-    bool *has_image;  /* for each image, which machines hold it */
-    uint64_t *images; /* hashes of the images' names */
+    struct rp_resources *guarantees; /* of each team: what is left of its CPUs and GPUs */
+    bool *has_image;                 /* for each image, which machines hold it */
+    uint64_t *images;                /* hashes of the images' names */
     size_t n_images;
     struct rp_plan_end *ends;
     size_t n_ends;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -363,6 +363,25 @@
     free(g);
 }
 
+/* What fits a team's guarantee waits for no other team's work, whatever the priorities. */
+static void guaranteed_work_goes_first(void **state) {
+    struct rp_plan_machine m[] = {machine(0, 8, 8)};
+    struct rp_plan_group g[] = {group(8, 1, 50), group(6, 1, 50)};
+    struct rp_plan_input in = input(NULL, 0, m, 1, g, 2);
+    struct rp_plan p;
+    (void)state;
+    g[0].priority = RP_PRODUCTION;
+    g[1].priority = RP_LOW;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 1, 0), 0);
+    rp_plan_free(&p);
+    g[1].guaranteed = true;
+    rp_plan_by(&in, fcfs_sm, &p);
+    assert_int_equal(put_on(&p, 1, 0), 6);
+    assert_int_equal(put_on(&p, 0, 0), 2);
+    rp_plan_free(&p);
+}
+
 /* More work than can be in time: of a class of forty jobs some are given up rather than the only
  * job of another class, though that is larger than any of them (incident 5bf9). */
 static void rare_classes_are_served(void **state) {
@@ -400,6 +419,7 @@
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(rare_classes_are_served),
+                                       cmocka_unit_test(guaranteed_work_goes_first),
                                        cmocka_unit_test(formula_one),
                                        cmocka_unit_test(first_with_room),
                                        cmocka_unit_test(rents_most_capacity_per_price),
--- a/tests/test_sim.c
+++ b/tests/test_sim.c
@@ -621,6 +621,41 @@
     assert_true(never >= 8);
 }
 
+/* A team's guarantee: other teams' work beyond their own makes way, of any priority, and they get
+ * what the guarantee leaves. */
+static void guarantee_is_given(void **state) {
+    static const struct sim_faults none = {0};
+    (void)state;
+    for (unsigned long seed = 90; seed < 93; seed++) {
+        struct sim *s = sim_new(seed, &none, SIM_SOUND, 3);
+        int guest[2];
+        for (int i = 0; i < s->n_nodes; i++) {
+            s->settings[i].teams[0].cpus_max = 1e6;
+            s->settings[i].teams[1].cpus = 24;
+        }
+        for (int i = 0; i < 14; i++)
+            sim_submit(s, 1, "sweep", 40, 4, 150, 0);
+        sim_run(s, 60);
+        for (int i = 0; i < 2; i++) {
+            guest[i] = sim_submit(s, 60, "sweep", 24, 1, 20, 0);
+            sim_change(s, guest[i], "crew", json_string("guests"));
+            sim_change(s, guest[i], "precedence", json_string("low"));
+        }
+        sim_run(s, 55);
+        assert_true(s->jobs[guest[0]].told_done);
+        /* The second job is beyond the guarantee until the first is over. */
+        assert_true(s->jobs[guest[1]].begun);
+        sim_run(s, 30);
+        assert_true(s->jobs[guest[1]].told_done);
+        sim_calm(s);
+        sim_run(s, 600);
+        sim_check_served(s);
+        assert_string_equal(s->broken, "");
+        assert_true(sim_all_over(s));
+        sim_free(s);
+    }
+}
+
 /* Users who ask twenty times as often, far beyond what the state service takes: submissions and
  * cancellations pass all the same, and what is too much is refused at once. */
 static void questions_starve_nothing(void **state) {
@@ -1017,6 +1052,7 @@
                                        cmocka_unit_test(bad_machines_are_found),
                                        cmocka_unit_test(machines_that_never_come_up),
                                        cmocka_unit_test(guests_are_served),
+                                       cmocka_unit_test(guarantee_is_given),
                                        cmocka_unit_test(questions_starve_nothing),
                                        cmocka_unit_test(questions_are_answered_together),
                                        cmocka_unit_test(held_reports_bring_nothing_back),
