--- a/src/plan.c
+++ b/src/plan.c
@@ -103,7 +103,8 @@
     struct listing listings[LISTINGS_MAX];
     size_t n_listings;
     bool *given_up; /* groups that can't be in time, or aren't to be so that more others are */
-    /* Of the classes of a priority with aims, without GPUs and with: the most unfinished jobs. */
+    /* Of the arrays' classes of a priority with aims, without GPUs and with: the most unfinished
+     * jobs. Gangs don't count: they are never given up, and their size is no part of the order. */
     uint32_t class_jobs_most[RP_PRODUCTION + 1][2];
     struct pool *pools;
     size_t n_pools;
@@ -373,7 +374,7 @@
     for (size_t i = 0; i < r->in->n_groups; i++) {
         const struct rp_plan_group *g = &r->in->groups[i];
         uint32_t *most = &r->class_jobs_most[g->priority][on_gpus(g)];
-        if (g->slack_s < RP_NO_AIM_S && g->class_jobs > *most)
+        if (g->kind == RP_ARRAY && g->slack_s < RP_NO_AIM_S && g->class_jobs > *most)
             *most = g->class_jobs;
     }
 }
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -363,6 +363,31 @@
     free(g);
 }
 
+/* However many gangs there are, the only class of arrays has its small jobs first while there is
+ * more work than can be in time. */
+static void gangs_make_no_class_rare(void **state) {
+    struct rp_plan_machine m[10];
+    struct rp_plan_group g[] = {group(400, 1, 60), group(160, 1, 10), group(8, 1, 10),
+                                group(1, 100, 60)};
+    struct rp_plan p;
+    uint32_t small = 0;
+    (void)state;
+    for (int i = 0; i < 10; i++)
+        m[i] = machine(0, 8, 8);
+    for (int i = 0; i < 4; i++) {
+        g[i].slack_s = i == 0 ? 30 : i == 2 ? 60 : 50;
+        g[i].class_jobs = i == 3 ? 40 : 1;
+    }
+    g[3].kind = RP_GANG;
+    struct rp_plan_input in = input(NULL, 0, m, 10, g, 4);
+    rp_plan_by(&in, (struct rp_heuristic){RP_ESW, RP_SM}, &p);
+    assert_true(p.short_of_room[0]);
+    for (size_t i = 0; i < 10; i++)
+        small += put_on(&p, 2, i);
+    assert_int_equal(small, 8);
+    rp_plan_free(&p);
+}
+
 /* What fits a team's guarantee waits for no other team's work, whatever the priorities. */
 static void guaranteed_work_goes_first(void **state) {
     struct rp_plan_machine m[] = {machine(0, 8, 8)};
@@ -419,6 +444,7 @@
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(rare_classes_are_served),
+                                       cmocka_unit_test(gangs_make_no_class_rare),
                                        cmocka_unit_test(guaranteed_work_goes_first),
                                        cmocka_unit_test(formula_one),
                                        cmocka_unit_test(first_with_room),
