Standby: machines that the leader before gave back are given back once more, and delay nothing

Change: the stream tells which machines are being returned and which are gone; the next leader repeats the deletion, whose answer makes it certain. Tests: standby.returns_go_on, standby.returned_machines_delay_nothing (fails without).

--- a/src/standby/replica.c
+++ b/src/standby/replica.c
@@ -40,6 +40,7 @@
 
 static void drop(struct rp_replica *replica, const char *machine) {
     struct rp_replica_machine **at = position_of(replica, machine), *gone = *at;
+    rp_gone_machines_add(&replica->gone, machine);
     if (!gone)
         return;
     *at = gone->next;
@@ -58,6 +59,11 @@
     replica->term = replica->index = 0;
 }
 
+void rp_replica_free(struct rp_replica *replica) {
+    rp_replica_clear(replica);
+    rp_gone_machines_free(&replica->gone);
+}
+
 enum rp_replica_outcome rp_replica_apply(struct rp_replica *replica,
                                          const struct rp_stream_message *message) {
     if (message->term < replica->term)
--- a/src/standby/replica.h
+++ b/src/standby/replica.h
@@ -3,6 +3,7 @@
 #ifndef RP_REPLICA_H
 #define RP_REPLICA_H
 
+#include "gone_machines.h"
 #include "stream_message.h"
 
 #define RP_REPLICA_BUCKETS 8192
@@ -19,6 +20,8 @@
     uint64_t index; /* the last change that it holds */
     size_t n_machines;
     struct rp_replica_machine *buckets[RP_REPLICA_BUCKETS];
+    struct rp_gone_machines
+        gone; /* names that leaders have told to be gone; they never come again */
 };
 
 enum rp_replica_outcome {
@@ -32,6 +35,8 @@
 /* NULL: the machine isn't known. */
 const struct rp_replica_machine *rp_replica_find(const struct rp_replica *replica,
                                                  const char *machine);
+/* Forgets the copy, but not which machines are gone. */
 void rp_replica_clear(struct rp_replica *replica);
+void rp_replica_free(struct rp_replica *replica);
 
 #endif
--- a/src/standby/standby.c
+++ b/src/standby/standby.c
@@ -408,13 +408,13 @@
             strcpy(standby->to_fence[standby->n_to_fence++], m->name);
 }
 
-/* What the leader before had begun to give back may be gone, and nothing else would tell so for
- * seconds: the cloud's answer to the same request does. */
+/* What the leader before has given back, or had begun to, may still stand in a record, and nothing
+ * else would tell for seconds that it is gone: the cloud's answer to the same request does. */
 static void return_again(struct rp_standby *standby) {
     for (struct rp_machine *m = standby->cluster->first; m; m = m->next) {
         const struct rp_replica_machine *known = rp_replica_find(&standby->replica, m->name);
-        if (known && known->returning)
-            rp_fleet_return(standby->workers->fleet, m, "the leader before had begun to return it");
+        if ((known && known->returning) || rp_gone_machines_has(&standby->replica.gone, m->name))
+            rp_fleet_return(standby->workers->fleet, m, "the leader before gave it back");
     }
 }
 
@@ -445,7 +445,7 @@
     rp_timer_cancel(standby->loop, &standby->fence_timer);
     standby->cluster->on_machine = NULL;
     rp_change_log_free(&standby->log);
-    rp_replica_clear(&standby->replica);
+    rp_replica_free(&standby->replica);
     free(standby->to_fence);
     standby->to_fence = NULL;
     free(standby->peers);
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -374,6 +374,28 @@
     }
 }
 
+/* The leader ends when the cloud has taken a machine back and the record still names it. */
+static void returned_machines_delay_nothing(void **state) {
+    (void)state;
+    for (unsigned long seed = 260; seed < 270; seed++) {
+        struct sim *s = busy_world(seed, 3);
+        uint64_t token = token_of(s);
+        int leader = sim_leader(s);
+        struct rp_node *n = s->nodes[leader].node;
+        assert_non_null(n->cluster.first);
+        char name[RP_TEXT_MAX];
+        strcpy(name, n->cluster.first->name);
+        for (struct rp_rental *r = n->fleet.rentals; r; r = r->next)
+            r->retry = rp_ts_after(rp_loop_now(n->loop), 60); /* no record is written any more */
+        rp_fleet_return(&n->fleet, n->cluster.first, "for the test");
+        run(s, 1);
+        assert_null(rp_machine_find(&n->cluster, name));
+        sim_crash(s, leader, 20);
+        assert_true(until_started(s, token, 20) <= TAKEOVER_MOST_S);
+        rest(s);
+    }
+}
+
 /* A takeover whose transactions and answers get lost or come late, in every kind of trouble. */
 static void takeovers_in_bad_weather(void **state) {
     static const struct sim_faults bad = {.lose = 0.02,
@@ -422,6 +444,7 @@
         cmocka_unit_test(returning_standby_remembers_whom_it_deposed),
         cmocka_unit_test(young_jobs_belong_to_the_next_leader),
         cmocka_unit_test(returns_go_on),
+        cmocka_unit_test(returned_machines_delay_nothing),
         cmocka_unit_test(takeovers_in_bad_weather),
         cmocka_unit_test(disabled_means_none)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -149,7 +149,7 @@
         free(text);
     }
     assert_true(read > 100 && refused > 100);
-    rp_replica_clear(replica);
+    rp_replica_free(replica);
     free(replica);
     gsl_rng_free(rng);
 }
@@ -188,7 +188,7 @@
     assert_int_equal(replica->n_machines, n_up);
     for (unsigned m = 0; m < 200; m++)
         assert_true(up[m] == (rp_replica_find(replica, change_of(m, true).machine) != NULL));
-    rp_replica_clear(replica);
+    rp_replica_free(replica);
     rp_change_log_free(&log);
     free(replica);
     gsl_rng_free(rng);
@@ -216,7 +216,7 @@
     assert_int_equal(rp_replica_apply(replica, &message), RP_REPLICA_APPLIED);
     assert_int_equal(replica->n_machines, 10);
     rp_stream_message_free(&message);
-    rp_replica_clear(replica);
+    rp_replica_free(replica);
     rp_change_log_free(&log);
     free(replica);
 }
