--- a/src/hints.h
+++ b/src/image_index.h
@@ -1,15 +1,15 @@
 /* Which images the machines hold, as the leader knows it, kept by the other nodes for the time
  * after it: a new leader otherwise knows only of the images of tasks that run. Hints and no more: a
  * wrong one costs a fetch, and no rule depends on any. */
-#ifndef RP_HINTS_H
-#define RP_HINTS_H
+#ifndef RP_IMAGE_INDEX_H
+#define RP_IMAGE_INDEX_H
 
 #include <jansson.h>
 #include "election.h"
 #include "net.h"
 #include "cluster.h"
 
-struct rp_hints {
+struct rp_image_index {
     struct rp_loop *loop;
     struct rp_net net;
     struct rp_election *election;
@@ -19,17 +19,17 @@
     struct rp_timer timer;
 };
 
-void rp_hints_init(struct rp_hints *h, struct rp_loop *loop, struct rp_net net,
-                   struct rp_election *election, struct rp_cluster *cluster,
-                   const struct rp_settings *settings);
-void rp_hints_start(struct rp_hints *h);
-void rp_hints_close(struct rp_hints *h);
+void rp_image_index_init(struct rp_image_index *index, struct rp_loop *loop, struct rp_net net,
+                         struct rp_election *election, struct rp_cluster *cluster,
+                         const struct rp_settings *settings);
+void rp_image_index_start(struct rp_image_index *index);
+void rp_image_index_close(struct rp_image_index *index);
 /* This node leads now, and its machines are known: what it and the others remember is taken over.
  */
-void rp_hints_lead(struct rp_hints *h);
+void rp_image_index_lead(struct rp_image_index *index);
 /* What this node knows, for another one. Caller frees. */
-char *rp_hints_json(const struct rp_hints *h);
+char *rp_image_index_json(const struct rp_image_index *index);
 
-#define RP_PATH_HINTS "/peer/images"
+#define RP_PATH_IMAGES "/peer/images"
 
 #endif
--- a/src/node.c
+++ b/src/node.c
@@ -56,7 +56,7 @@
         return -1;
     rp_fleet_init(&n->fleet, loop, &n->cloud, &n->state, &n->election, &n->cluster, &n->jobs, s,
                   &n->catalog);
-    rp_hints_init(&n->hints, loop, net, &n->election, &n->cluster, s);
+    rp_image_index_init(&n->image_index, loop, net, &n->election, &n->cluster, s);
     if (rp_metrics_init(&n->metrics) < 0)
         return -1;
     rp_workers_init(&n->workers, loop, &n->election, &n->cluster, &n->jobs, &n->fleet, s,
@@ -88,7 +88,7 @@
 void rp_node_start(struct rp_node *n) {
     rp_catalog_source_start(&n->catalog_source);
     rp_upgrade_start(&n->upgrade);
-    rp_hints_start(&n->hints);
+    rp_image_index_start(&n->image_index);
     rp_standby_start(&n->standby);
     rp_timer_set(n->loop, &n->summary_timer, SUMMARY_S);
     rp_timer_set(n->loop, &n->health_timer, HEALTH_S);
@@ -104,7 +104,7 @@
     rp_services_stop(&n->services);
     rp_election_stop(&n->election);
     rp_upgrade_stop(&n->upgrade);
-    rp_hints_close(&n->hints);
+    rp_image_index_close(&n->image_index);
     rp_catalog_source_close(&n->catalog_source);
     rp_timer_cancel(n->loop, &n->summary_timer);
     rp_timer_cancel(n->loop, &n->retry_timer);
@@ -186,7 +186,7 @@
         break;
     case RP_NODE_LEADING:
         rp_info("leading: jobs=%zu machines=%zu", n->jobs.n_jobs, n->cluster.n_machines);
-        rp_hints_lead(&n->hints);
+        rp_image_index_lead(&n->image_index);
         rp_standby_lead(&n->standby);
         rp_catalog_source_lead(&n->catalog_source);
         rp_services_start(&n->services);
@@ -397,8 +397,8 @@
         respond_text(req, summary_json(n));
     else if (get && strncmp(req->target, RP_PATH_STREAM, strlen(RP_PATH_STREAM)) == 0)
         respond_text(req, rp_standby_answer(&n->standby, req->target));
-    else if (get && strcmp(req->target, RP_PATH_HINTS) == 0)
-        respond_text(req, rp_hints_json(&n->hints));
+    else if (get && strcmp(req->target, RP_PATH_IMAGES) == 0)
+        respond_text(req, rp_image_index_json(&n->image_index));
     else if (get && strcmp(req->target, PATH_HEALTH) == 0)
         req->respond(req, 200,
                      n->state.n_ok > 0 && rp_state_failing_s(&n->state) <= 0
--- a/src/node.h
+++ b/src/node.h
@@ -7,7 +7,7 @@
 #include "election.h"
 #include "final_states.h"
 #include "fleet.h"
-#include "hints.h"
+#include "image_index.h"
 #include "job_lookup.h"
 #include "jobs.h"
 #include "metrics.h"
@@ -46,7 +46,7 @@
     struct rp_workers workers;
     struct rp_services services;
     struct rp_round round;
-    struct rp_hints hints;
+    struct rp_image_index image_index;
     struct rp_standby standby;
     struct rp_metrics metrics;
     struct rp_timer summary_timer, retry_timer;
