--- a/src/fleet.c
+++ b/src/fleet.c
@@ -31,8 +31,8 @@
 #define ZONE_BACK_S 12.0
 #define ZONE_GRACE_S 75.0 /* when most of its zone fell silent with it */
 /* A machine that reports but gets no answers has had its lease's time, and more, to recover. */
-#define DEAF_RETURN_S 32.0
-#define DEAF_SURE_S 5.0
+#define ANSWERS_LOST_RETURN_S 32.0
+#define ANSWERS_LOST_SURE_S 5.0
 #define ISOLATED_SHARE 0.6 /* of the machines, silent at the same time */
 #define DOUBTFUL_SHARE 0.3 /* so many at once: the fault may be ours, and none goes back for it */
 #define ISOLATED_S 2.0     /* for so long: this node is cut off rather than they */
@@ -150,7 +150,8 @@
 }
 
 /* The one place where a rental changes its state. */
-static void rental_enter(struct rp_fleet *f, struct rp_rental *rental, enum rp_rental_state state) {
+static void rental_set_state(struct rp_fleet *f, struct rp_rental *rental,
+                             enum rp_rental_state state) {
     rental->state = state;
     rental->retry = (struct timespec){0};
     if (state == RP_RENTAL_LIVE) {
@@ -234,9 +235,9 @@
     rental->stored = true;
     /* The state may have moved on while the write was under way: its machines can be gone. */
     if (wrote == RP_RENTAL_WRITING && rental->state == wrote)
-        rental_enter(f, rental, RP_RENTAL_ASKING);
+        rental_set_state(f, rental, RP_RENTAL_ASKING);
     else if (wrote == RP_RENTAL_RECORDING && rental->state == wrote)
-        rental_enter(f, rental, RP_RENTAL_LIVE);
+        rental_set_state(f, rental, RP_RENTAL_LIVE);
     else if (wrote == RP_RENTAL_LIVE && f->on_changed)
         f->on_changed(f->arg);
     rental_step(f, rental);
@@ -307,7 +308,7 @@
     rental->changed = true;
     rp_info("rental %s names machines=%zu, too many for a value: split with %s", rental->name, n,
             name);
-    rental_enter(f, second, RP_RENTAL_RECORDING);
+    rental_set_state(f, second, RP_RENTAL_RECORDING);
     rental_step(f, second);
     return true;
 }
@@ -395,7 +396,7 @@
     if (n < rental->record.count)
         refuse(f, rental);
     free(names);
-    rental_enter(f, rental, n ? RP_RENTAL_RECORDING : RP_RENTAL_ENDED);
+    rental_set_state(f, rental, n ? RP_RENTAL_RECORDING : RP_RENTAL_ENDED);
     rental_step(f, rental);
     if (f->on_changed)
         f->on_changed(f->arg);
@@ -413,13 +414,13 @@
         rented(f, rental, answer);
     } else if (answer->status == 503 && rp_wire_no_capacity(answer->body, answer->len)) {
         refuse(f, rental);
-        rental_enter(f, rental, RP_RENTAL_ENDED);
+        rental_set_state(f, rental, RP_RENTAL_ENDED);
         rental_step(f, rental);
         if (f->on_changed)
             f->on_changed(f->arg);
     } else if (answer->status == 400) {
         rp_error("the cloud refused request %s: %.200s", rental->name, answer->body);
-        rental_enter(f, rental, RP_RENTAL_ENDED);
+        rental_set_state(f, rental, RP_RENTAL_ENDED);
         rental_step(f, rental);
     } else {
         /* It may have been carried out: only the same name again tells. */
@@ -481,7 +482,7 @@
     rental->record.spot = spot;
     rental->record.count = count < rental_most(f) ? count : rental_most(f);
     clock_gettime(CLOCK_REALTIME, &rental->record.asked);
-    rental_enter(f, rental, RP_RENTAL_WRITING);
+    rental_set_state(f, rental, RP_RENTAL_WRITING);
     rental_step(f, rental);
 }
 
@@ -510,7 +511,7 @@
     rental->record.answered = true;
     clock_gettime(CLOCK_REALTIME, &rental->record.asked);
     m->rental = rental;
-    rental_enter(f, rental, RP_RENTAL_RECORDING);
+    rental_set_state(f, rental, RP_RENTAL_RECORDING);
     rental_step(f, rental);
 }
 
@@ -531,7 +532,7 @@
     const char *names[1];
     if (rental_names(f, rental, names, 1) == 0 &&
         (rental->state == RP_RENTAL_LIVE || rental->state == RP_RENTAL_RECORDING))
-        rental_enter(f, rental, RP_RENTAL_ENDED);
+        rental_set_state(f, rental, RP_RENTAL_ENDED);
     else
         rental->changed = true;
 }
@@ -722,7 +723,7 @@
 /* ---- what time does to machines ---- */
 
 /* How long nothing has shown that the machine gets our answers. */
-static double deaf_for(const struct rp_machine *m, struct timespec now) {
+static double answers_lost_for_s(const struct rp_machine *m, struct timespec now) {
     return rp_machine_misses_answers(m) ? rp_ts_since(now, m->answers_lost_since) : 0;
 }
 
@@ -748,7 +749,8 @@
         known++;
         if (rp_ts_cmp(m->last_report, newest) > 0)
             newest = m->last_report;
-        quiet += deaf_for(m, now) > DEAF_SURE_S || rp_ts_since(now, m->last_report) > limit;
+        quiet += answers_lost_for_s(m, now) > ANSWERS_LOST_SURE_S ||
+                 rp_ts_since(now, m->last_report) > limit;
     }
     bool most = known >= 4 && (double)quiet >= ISOLATED_SHARE * (double)known;
     bool many = known >= 4 && (double)quiet >= DOUBTFUL_SHARE * (double)known;
@@ -832,7 +834,7 @@
             rp_machine_set_state(f->cluster, m, RP_MACHINE_LOST);
             f->news = true;
         } else if (!cut_off && rp_machine_misses_answers(m) &&
-                   rp_ts_since(now, m->answers_lost_since) > DEAF_RETURN_S)
+                   rp_ts_since(now, m->answers_lost_since) > ANSWERS_LOST_RETURN_S)
             rp_fleet_return(f, m, "gets no answers");
         else if (m->noticed && rp_ts_since(now, m->notice_end) > 1 && silent(f, m))
             rp_fleet_return(f, m, "taken back");
@@ -844,7 +846,7 @@
                                          : "its work fits elsewhere");
         break;
     case RP_MACHINE_LOST:
-        if (!cut_off && deaf_for(m, now) > DEAF_RETURN_S)
+        if (!cut_off && answers_lost_for_s(m, now) > ANSWERS_LOST_RETURN_S)
             rp_fleet_return(f, m, "gets no answers");
         else if (!cut_off && rp_ts_since(now, m->lost_since) > lost_grace_s(f, m, now) &&
                  led > LOST_GRACE_S)
@@ -919,7 +921,7 @@
     rental->version = item->version;
     rental->version_known = true;
     if (!rental->record.answered) {
-        rental_enter(f, rental, RP_RENTAL_ASKING);
+        rental_set_state(f, rental, RP_RENTAL_ASKING);
         return;
     }
     clock_gettime(CLOCK_REALTIME, &wall);
@@ -944,7 +946,8 @@
     }
     /* What a split that was cut short has left names nothing that another doesn't. */
     const char *name;
-    rental_enter(f, rental, rental_names(f, rental, &name, 1) ? RP_RENTAL_LIVE : RP_RENTAL_ENDED);
+    rental_set_state(f, rental,
+                     rental_names(f, rental, &name, 1) ? RP_RENTAL_LIVE : RP_RENTAL_ENDED);
 }
 
 static void loaded(void *arg, const struct rp_state_result *result) {
--- a/src/http.c
+++ b/src/http.c
@@ -105,7 +105,7 @@
 }
 
 /* The one place where a server connection changes its state. */
-static void conn_enter(struct rp_http_conn *c, enum conn_state state) {
+static void conn_set_state(struct rp_http_conn *c, enum conn_state state) {
     struct rp_loop *loop = c->server->loop;
     c->state = state;
     switch (state) {
@@ -139,7 +139,7 @@
     /* A request still being handled keeps the struct until it is responded to. */
     bool handling = c->state == CONN_HANDLING;
     if (c->state != CONN_CLOSED)
-        conn_enter(c, CONN_CLOSED);
+        conn_set_state(c, CONN_CLOSED);
     if (!handling && !c->in_handler)
         free(c);
 }
@@ -176,7 +176,7 @@
         return false;
     }
     rp_http_parser_reset(&c->parser);
-    conn_enter(c, CONN_RECEIVING);
+    conn_set_state(c, CONN_RECEIVING);
     return true;
 }
 
@@ -190,7 +190,7 @@
             c->in_handler = false; /* the caller of the handler frees it */
         return;
     }
-    conn_enter(c, CONN_SENDING);
+    conn_set_state(c, CONN_SENDING);
     if (conn_queue(c, status, body, retry_after) < 0) {
         conn_drop(c);
         return;
@@ -203,7 +203,7 @@
 
 static void conn_refuse(struct rp_http_conn *c, int status) {
     c->parser.close = true;
-    conn_enter(c, CONN_SENDING);
+    conn_set_state(c, CONN_SENDING);
     if (conn_queue(c, status, "{\"error\":\"bad message\"}\n", 0) < 0)
         conn_drop(c);
     else
@@ -212,7 +212,7 @@
 
 static bool conn_handle(struct rp_http_conn *c) {
     struct rp_http_server *s = c->server;
-    conn_enter(c, CONN_HANDLING);
+    conn_set_state(c, CONN_HANDLING);
     c->req = (struct rp_request){.method = c->parser.method,
                                  .target = c->parser.target,
                                  .body = c->parser.body ? c->parser.body : "",
@@ -368,7 +368,7 @@
         if (rp_watch_add(s->loop, &c->watch, EPOLLIN) < 0)
             conn_drop(c);
         else
-            conn_enter(c, CONN_RECEIVING);
+            conn_set_state(c, CONN_RECEIVING);
     }
 }
 
@@ -501,7 +501,7 @@
 }
 
 /* The one place where a client connection changes its state. */
-static void line_enter(struct http_line *l, enum line_state state) {
+static void line_set_state(struct http_line *l, enum line_state state) {
     struct rp_http_host *h = l->host;
     struct rp_loop *loop = h->client->loop;
     if (l->state == LINE_IDLE)
@@ -581,7 +581,7 @@
     struct rp_http_host *h = l->host;
     struct rp_http_call *call = l->call;
     h->in_use = true;
-    line_enter(l, LINE_CLOSED);
+    line_set_state(l, LINE_CLOSED);
     if (call) {
         call->line = NULL;
         call_finish(call, &none);
@@ -616,7 +616,7 @@
     l->parser.body_len = l->parser.body_cap = 0;
     rp_http_parser_reset(&l->parser);
     call->line = NULL;
-    line_enter(l, ends ? LINE_CLOSED : LINE_IDLE);
+    line_set_state(l, ends ? LINE_CLOSED : LINE_IDLE);
     h->in_use = true;
     call_finish(call, &answer);
     rp_http_parser_free(&parser);
@@ -647,7 +647,7 @@
     if (sent < 0)
         line_fail(l);
     else
-        line_enter(l, sent ? LINE_RECEIVING : LINE_SENDING);
+        line_set_state(l, sent ? LINE_RECEIVING : LINE_SENDING);
 }
 
 static void line_event(void *arg, uint32_t events) {
@@ -689,7 +689,7 @@
     h->lines = l;
     h->n_lines++;
     c->n_open++;
-    line_enter(l, LINE_CONNECTING);
+    line_set_state(l, LINE_CONNECTING);
     return l;
 out:
     if (fd >= 0)
@@ -705,7 +705,7 @@
     if (!l)
         return false;
     struct rp_http_host *h = l->host;
-    line_enter(l, LINE_CLOSED);
+    line_set_state(l, LINE_CLOSED);
     host_release(h);
     return true;
 }
@@ -765,7 +765,7 @@
         l->out = (struct outbuf){.data = call->text, .len = call->len};
         call->text = NULL;
         if (!fresh)
-            line_enter(l, LINE_SENDING); /* sent from the loop: no call-back before return */
+            line_set_state(l, LINE_SENDING); /* sent from the loop: no call-back before return */
     }
 }
 
@@ -861,7 +861,7 @@
     }
     while (h->lines) {
         struct rp_http_call *call = h->lines->call;
-        line_enter(h->lines, LINE_CLOSED);
+        line_set_state(h->lines, LINE_CLOSED);
         if (call)
             call_free(call);
     }
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -173,7 +173,7 @@
 }
 
 /* The one place where a job changes its state. */
-static void job_enter(struct rp_jobs *t, struct rp_job *job, enum rp_job_state state) {
+static void job_set_state(struct rp_jobs *t, struct rp_job *job, enum rp_job_state state) {
     job->state = state;
     if (state != RP_JOB_CLOSED)
         return;
@@ -420,7 +420,7 @@
         for (uint32_t i = 0; i < job->spec.n_tasks; i++)
             job->n_done += rp_job_task_done(job, i);
         if (job->n_done == job->spec.n_tasks)
-            job_enter(t, job, RP_JOB_FINISHING);
+            job_set_state(t, job, RP_JOB_FINISHING);
     }
     t->active = true;
     t->loading = false;
@@ -633,7 +633,7 @@
         /* What was about to be written of its progress may still arrive. */
         if (job->state == RP_JOB_OPEN)
             sweep_later(t, job->spec.id, &job->stored);
-        job_enter(t, job, RP_JOB_CLOSED);
+        job_set_state(t, job, RP_JOB_CLOSED);
     }
 }
 
@@ -741,7 +741,7 @@
     else
         mark_done(t, job, task);
     if (job->n_done == job->spec.n_tasks) {
-        job_enter(t, job, RP_JOB_FINISHING);
+        job_set_state(t, job, RP_JOB_FINISHING);
         finish(t, job);
     }
 }
@@ -757,7 +757,7 @@
         rp_info("job %s is done, tasks=%u age=%.1fs", job->spec.id, job->spec.n_tasks,
                 rp_job_age_s(job, rp_loop_now(t->loop)));
         sweep_later(t, job->spec.id, &r->left);
-        job_enter(t, job, RP_JOB_CLOSED);
+        job_set_state(t, job, RP_JOB_CLOSED);
     } else if (result->outcome == RP_STATE_CONFLICT &&
                rp_wire_failed_key(result->body, RP_KEY_LEADER)) {
         rp_election_doubt(t->election);
