--- a/src/cluster.c
+++ b/src/cluster.c
@@ -115,6 +115,8 @@
     }
     m->state = state;
     p->unsettled_stale = true;
+    if (state == RP_MACHINE_RETURNING)
+        m->returning_since = now;
     if (state == RP_MACHINE_RETURNING && p->on_machine)
         p->on_machine(p->on_machine_arg, m, false);
 }
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -85,7 +85,7 @@
     struct timespec last_heard; /* the newest message of any kind */
     struct timespec held_until; /* its tasks are gone by then unless it is answered again */
     struct timespec first_answer, last_answer; /* ours; zero: none yet */
-    struct timespec lost_since;
+    struct timespec lost_since, returning_since;
     uint64_t lost_session; /* the session that it was lost in, 0: none that this leader heard of */
     struct timespec
         answers_lost_since; /* its reports come, but our answers don't reach it; zero: they do */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -41,6 +41,8 @@
 #define MUTE_REPORTS 20 /* that were due meanwhile */
 #define MUTE_TICKS 2
 #define STAND_BACK_S 12.0
+#define TOLD_S 0.4       /* standbys ask for news more often */
+#define LED_LATELY_S 2.0 /* what the leader before has given back is given back again at once */
 
 struct request {
     struct rp_fleet *f;
@@ -559,13 +561,22 @@
     request_free(r);
 }
 
+/* The standbys hear of a return before the cloud does: of a machine that is gone without their
+ * knowing a new leader would have to think for seconds that tasks may be there. */
+static bool may_delete(const struct rp_fleet *f, const struct rp_machine *m, struct timespec now) {
+    bool told = !f->settings->tuning.standby || rp_ts_since(now, m->returning_since) > TOLD_S ||
+                rp_ts_since(now, f->led_since) < LED_LATELY_S;
+    return m->state == RP_MACHINE_RETURNING && !m->delete_sent && told;
+}
+
 static void delete_some(struct rp_fleet *f) {
     const char *names[DELETE_MAX];
+    struct timespec now = rp_loop_now(f->loop);
     size_t n = 0;
-    if (f->deleting || !rp_election_valid(f->election, rp_loop_now(f->loop)))
+    if (f->deleting || !rp_election_valid(f->election, now))
         return;
     for (struct rp_machine *m = f->cluster->first; m && n < DELETE_MAX; m = m->next)
-        if (m->state == RP_MACHINE_RETURNING && !m->delete_sent) {
+        if (may_delete(f, m, now)) {
             m->delete_sent = true;
             names[n++] = m->name;
         }
