--- a/src/standby/change_log.c
+++ b/src/standby/change_log.c
@@ -34,6 +34,28 @@
     return true;
 }
 
+/* The first change that is kept. */
+static uint64_t first_kept(const struct rp_change_log *log) {
+    return log->index >= RP_CHANGES_KEPT ? log->index - RP_CHANGES_KEPT + 1 : 1;
+}
+
+static bool is_gone(const struct rp_change_log *log, uint64_t index) {
+    return log->ring[index % RP_CHANGES_KEPT].kind == RP_CHANGE_MACHINE_GONE;
+}
+
+size_t rp_change_log_n_gone(const struct rp_change_log *log) {
+    size_t n = 0;
+    for (uint64_t i = first_kept(log); i <= log->index; i++)
+        n += is_gone(log, i);
+    return n;
+}
+
+void rp_change_log_gone(const struct rp_change_log *log, struct rp_change *out) {
+    for (uint64_t i = first_kept(log); i <= log->index; i++)
+        if (is_gone(log, i))
+            *out++ = log->ring[i % RP_CHANGES_KEPT];
+}
+
 void rp_change_log_free(struct rp_change_log *log) {
     free(log->ring);
     memset(log, 0, sizeof *log);
--- a/src/standby/standby.c
+++ b/src/standby/standby.c
@@ -108,9 +108,12 @@
 
 static void snapshot(const struct rp_standby *standby, struct rp_stream_message *out) {
     const struct rp_cluster *cluster = standby->cluster;
-    out->changes = calloc(cluster->n_machines + 1, sizeof *out->changes);
+    size_t n_gone = rp_change_log_n_gone(&standby->log);
+    out->changes = calloc(cluster->n_machines + n_gone + 1, sizeof *out->changes);
     if (!out->changes)
         abort(); /* out of memory: a restart is the honest answer */
+    rp_change_log_gone(&standby->log, out->changes);
+    out->n_changes = n_gone;
     for (const struct rp_machine *m = cluster->first; m; m = m->next) {
         bool reachable = *m->addr && m->session > 0;
         if (reachable || m->state == RP_MACHINE_RETURNING)
--- a/src/standby/stream_message.h
+++ b/src/standby/stream_message.h
@@ -32,7 +32,7 @@
 struct rp_stream_message {
     uint64_t term;             /* the token under which the sender leads; 0: it doesn't lead */
     uint64_t index;            /* number of the last change in the message; the first is 1 */
-    bool snapshot;             /* `changes` tells of every machine at `index` */
+    bool snapshot;             /* `changes` tells of every machine, and of some that are gone */
     struct rp_change *changes; /* else those that lead up to `index`, in order */
     size_t n_changes;
     /* Of a sender that doesn't lead: the leader that it knows, "" for none, and for how long it has
--- a/tests/test_standby.c
+++ b/tests/test_standby.c
@@ -390,6 +390,11 @@
         rp_fleet_return(&n->fleet, n->cluster.first, "for the test");
         run(s, 1);
         assert_null(rp_machine_find(&n->cluster, name));
+        /* Standbys that have begun since then hear of it by their first snapshot. */
+        for (int i = 0; i < s->n_nodes && seed % 2; i++)
+            if (i != leader)
+                sim_crash(s, i, 0.1);
+        run(s, 3);
         sim_crash(s, leader, 20);
         assert_true(until_started(s, token, 20) <= TAKEOVER_MOST_S);
         rest(s);
