Tests of meetings end a leader that is there: with standby one found none at its moment

held_up_commands with standby ended the node -1 (undefined behaviour, seen by the sanitizer) where nobody led at 60 s: machines that hang had made the leader give way.

--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -32,6 +32,14 @@
     return s->nodes[sim_leader(s)].node;
 }
 
+/* Ends the leader's process; where nobody leads just then, the next one's. */
+static void crash_leader(struct sim *s, double back_s) {
+    for (int i = 0; i < 200 && sim_leader(s) < 0; i++)
+        run(s, 0.1);
+    assert_true(sim_leader(s) >= 0);
+    sim_crash(s, sim_leader(s), back_s);
+}
+
 static int running_tasks(const struct sim *s, int job) {
     int n = 0;
     for (int i = 0; i < s->size.workers; i++)
@@ -202,9 +210,9 @@
         for (int i = 0; i < 10; i++)
             s->jobs[i].cancel_at = s->now - 0.5 + 0.5 * i;
         if (seed % 3 == 0)
-            sim_crash(s, sim_leader(s), 3);
+            crash_leader(s, 3);
         else if (seed % 3 == 1)
-            sim_crash(s, sim_leader(s), 0.2);
+            crash_leader(s, 0.2);
         else
             rp_election_resign(&leader_of(s)->election, 5);
         run(s, 16);
@@ -356,7 +364,7 @@
             s->jobs[j].stagger_s = 25;
         }
         run(s, 30);
-        sim_crash(s, sim_leader(s), 3);
+        crash_leader(s, 3);
         run(s, 60);
         late += s->n_late_writes;
         rest(s);
@@ -442,7 +450,7 @@
         for (int i = 0; i < 480; i++)
             sim_submit(s, 5 + 0.25 * i, "sweep", 1, 1, 4, i % 4 ? 0 : 5.5 + 0.25 * i + i % 7);
         run(s, 60);
-        sim_crash(s, sim_leader(s), 3);
+        crash_leader(s, 3);
         run(s, 70);
         int over = 0, cancelled = 0;
         for (int i = 0; i < s->n_jobs; i++) {
@@ -542,7 +550,7 @@
                               : &w->hung_until) = until;
         }
         assert_true(out >= 2);
-        sim_crash(s, sim_leader(s), 3);
+        crash_leader(s, 3);
         run(s, 70);
         rest(s);
     }
@@ -600,7 +608,7 @@
         for (int i = 0; i < 10; i++)
             sim_submit(s, 12 + i * 8, "service", 3, 1, 0, 12.6 + i * 8 + i % 4 * 7);
         run(s, 60);
-        sim_crash(s, sim_leader(s), 0.2);
+        crash_leader(s, 0.2);
         run(s, 60);
         direct += s->n_direct;
         rest(s);
@@ -620,7 +628,7 @@
         run(s, 40);
         sim_cancel_now(s, 5, 4 + 4 * (double)(seed % 8));
         if (seed % 2)
-            sim_crash(s, sim_leader(s), 3);
+            crash_leader(s, 3);
         run(s, 60);
         for (int i = 0; i < 8; i++)
             confirmed += s->jobs[i].told_cancelled;
@@ -644,7 +652,7 @@
                 *(seed % 2 ? &s->workers[i].hung_until : &s->workers[i].mute_until) =
                     s->now + 4 + 4 * (double)(seed % 8);
         sim_cancel_now(s, 4, 0);
-        sim_crash(s, sim_leader(s), seed % 4 ? 0.2 : 3);
+        crash_leader(s, seed % 4 ? 0.2 : 3);
         run(s, 60);
         rest(s);
     }
