--- a/tests/loopback/takeovers.c
+++ b/tests/loopback/takeovers.c
@@ -53,7 +53,8 @@
     double phase_since, ended_at, claimed_at;
     uint64_t ended_token;
     double next_job;
-    bool stop_it; /* the leader is stopped for a while rather than killed */
+    double away_s; /* all ends are kills, and the process is back after so long; 0: as it comes */
+    bool stop_it;  /* the leader is stopped for a while rather than killed */
 };
 
 /* ---- the world's servers ---- */
@@ -195,7 +196,7 @@
 
 static void end_leader(struct world *w, int leader) {
     struct process *p = &w->nodes[leader];
-    w->stop_it = (w->done + (int)w->seed) % 4 == 3;
+    w->stop_it = w->away_s == 0 && (w->done + (int)w->seed) % 4 == 3;
     w->ended_token = w->sim->started_token;
     w->ended_at = w->sim->now;
     w->claimed_at = 0;
@@ -206,7 +207,7 @@
         w->n_stopped++;
     } else {
         node_kill(p);
-        p->goes_on_at = w->sim->now + 4 + w->done % 3;
+        p->goes_on_at = w->sim->now + (w->away_s > 0 ? w->away_s : 4 + w->done % 3);
     }
     enter(w, LEADERLESS);
 }
@@ -306,8 +307,8 @@
 int main(int argc, char **argv) {
     static const struct sim_size size = {WORKERS, 6, 2, 14, 39, 200, 20, 5};
     static struct world w;
-    if (argc != 7) {
-        fprintf(stderr, "usage: takeovers PROGRAM OPERATOR_FILE FOLDER PORT SEED ENDS\n");
+    if (argc < 7 || argc > 8) {
+        fprintf(stderr, "usage: takeovers PROGRAM OPERATOR_FILE FOLDER PORT SEED ENDS [AWAY_S]\n");
         return 2;
     }
     w.program = argv[1];
@@ -316,6 +317,7 @@
     w.port = atoi(argv[4]);
     w.seed = strtoul(argv[5], NULL, 10);
     w.wanted = atoi(argv[6]);
+    w.away_s = argc > 7 ? strtod(argv[7], NULL) : 0;
     const struct sim_remote remote = {.ctx = &w, .call = call_node, .worker_addr = worker_addr};
     char state[32], cloud[32];
     signal(SIGPIPE, SIG_IGN);
