--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,31 +1,57 @@
-/* Case 3: a guest team's service holds what it has borrowed, and a job of the team that is
- * guaranteed this capacity waits for as long as the service lives. */
+/* Case 3: the state service has seen 2^31 changes, and the leading controller crashes: nothing is
+ * started any more. */
+#include <inttypes.h>
 #include "platform.h"
 
 #define WAIT_MAX_S 90.0
+#define ROOM_CHECK_S 0.25
+/* The revision is this many changes below 2^31 at the start of the run. */
+#define CHANGES_BEFORE 9
+#define LIMIT (UINT64_C(1) << 31)
+#define CRASH_AT_S 8.0
+#define BACK_AFTER_S 3.0
 
-/* A small deployment: the cloud has two kea-small to give, which is what platform-crew is
- * guaranteed. */
+/* Of the site kowhai-registry. */
 static const char *const zones[] = {"kaikoura", "rimutaka", "tarawera"};
 static const struct frame frames[] = {
-    {"kea-small", 8, 0, 32, 0.36, 0.11, 35, 0.3, {1, 1, 0}},
+    {"kea-small", 8, 0, 32, 0.36, 0.11, 35, 0.3, {5, 5, 5}},
+    {"moa-wide", 64, 0, 256, 3.11, 0.93, 50, 0.6, {1, 1, 1}},
 };
 static const char teams[] =
-    "[{\"name\":\"platform-crew\",\"cpus\":16.0,\"cpus_max\":0.0,\"gpus\":0.0,\"gpus_max\":0.0},"
-    "{\"name\":\"harbourlab-guests\",\"cpus\":0.0,\"cpus_max\":0.0,\"gpus\":0.0,\"gpus_max\":0.0}]";
+    "[{\"name\":\"platform-crew\",\"cpus\":0.0,\"cpus_max\":0.0,\"gpus\":0.0,\"gpus_max\":0.0}]";
 
 static struct platform platform;
-static struct job *guests, *guaranteed;
+static struct job *before, *waiting;
+static double waits_since, checked_at;
+static bool has_crashed;
 
-/* The rule: "while all its unfinished jobs together fit within that, they need not wait for other
- * teams", and what a team borrows it "must give back". DEPLOY sets no time for the giving back; 90
- * s are what hunt/LATER.md allows a job that need not wait. */
+/* Without the trouble, the same changes are made, but no controller crashes. */
+static void crash_leader_when_due(struct platform *self, double now) {
+    int leader = platform_leader(self);
+    uint64_t revision = store_revision(self->store);
+    if (has_crashed || now < CRASH_AT_S || revision < LIMIT || !before->done || leader < 0)
+        return;
+    has_crashed = true;
+    platform_note(self, "the store's revision is %" PRIu64, revision);
+    if (platform_has_trouble())
+        platform_crash(self, leader, BACK_AFTER_S);
+    waiting->submit_at = now + BACK_AFTER_S + 1;
+}
+
+/* The rule: "no job is left waiting for 90 s while a machine that fits has room and its team is
+ * under its limit". */
 static void step(struct platform *self, double now) {
-    if (guaranteed->done)
-        platform_finish(self, 0, "the guaranteed team's job is done");
-    if (guaranteed->accepted && guaranteed->n_starts == 0 &&
-        now - guaranteed->accepted_at > WAIT_MAX_S)
-        platform_finish(self, 1, "a guaranteed team's job waited 90 s for another team's service");
+    crash_leader_when_due(self, now);
+    if (now - checked_at < ROOM_CHECK_S)
+        return;
+    checked_at = now;
+    bool is_left_waiting = waiting->accepted && waiting->n_starts == 0;
+    if (!is_left_waiting || !platform_has_room_for(self, waiting))
+        waits_since = now;
+    if (now - waits_since > WAIT_MAX_S)
+        platform_finish(self, 1, "an accepted job was left waiting for 90 s beside room for it");
+    if (waiting->done)
+        platform_finish(self, 0, "the job that came after is done");
 }
 
 int main(int argc, char **argv) {
@@ -35,36 +61,26 @@
                                              .record = argv[1],
                                              .directory = argv[2],
                                              .team_settings = teams,
+                                             .first_revision = LIMIT - CHANGES_BEFORE,
                                              .frames = frames,
-                                             .n_frames = 1,
+                                             .n_frames = 2,
                                              .zones = zones,
                                              .n_zones = 3,
                                              .boot_s = 1.5};
+    struct job_options job = {.rig = "mirror-sync-array",
+                              .crew = "platform-crew",
+                              .haul = "sweep",
+                              .precedence = "normal",
+                              .payload = "img-01",
+                              .lifts = 2,
+                              .vcpus = 1,
+                              .memory_gb = 3.6,
+                              .run_guess_s = 2,
+                              .run_s = 2,
+                              .submit_at = 1};
     platform_start(&platform, &options, step);
-    /* Without the trouble, the guests' work has the same size and is an array. */
-    bool is_service = platform_has_trouble();
-    guests =
-        platform_add_job(&platform, &(struct job_options){.rig = "harbourlab-soak",
-                                                          .crew = "harbourlab-guests",
-                                                          .haul = is_service ? "service" : "sweep",
-                                                          .precedence = "low",
-                                                          .payload = "img-01",
-                                                          .lifts = 8,
-                                                          .vcpus = 2,
-                                                          .memory_gb = 7.2,
-                                                          .run_guess_s = is_service ? 0 : 300,
-                                                          .run_s = 300,
-                                                          .submit_at = 1.5});
-    guaranteed = platform_add_job(&platform, &(struct job_options){.rig = "mirror-sync-array",
-                                                                   .crew = "platform-crew",
-                                                                   .haul = "sweep",
-                                                                   .precedence = "normal",
-                                                                   .payload = "img-02",
-                                                                   .lifts = 4,
-                                                                   .vcpus = 2,
-                                                                   .memory_gb = 7.2,
-                                                                   .run_guess_s = 5,
-                                                                   .run_s = 5,
-                                                                   .submit_at = 15});
+    before = platform_add_job(&platform, &job);
+    job.submit_at = 1e9; /* set by crash_leader_when_due */
+    waiting = platform_add_job(&platform, &job);
     return platform_run(&platform);
 }
--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -252,6 +252,7 @@
         platform_finish(platform, 2, "too many jobs");
     *job = (struct job){.used = true,
                         .vcpus = options->vcpus,
+                        .cards = options->cards,
                         .memory_gb = options->memory_gb,
                         .image_gb = 0.3,
                         .lifts = options->lifts,
@@ -263,9 +264,9 @@
     job->spec = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
         job->ref, "rig", options->rig, "crew", options->crew, "haul", options->haul, "precedence",
-        options->precedence, "lifts", (int)options->lifts, "vcpus", options->vcpus, "cards", 0.0,
-        "memory_gb", options->memory_gb, "payload", options->payload, "image_gb", job->image_gb,
-        "frames", "yard", "one_zone", 0, "spread", 0, "loaners", 0, "run_guess_s",
+        options->precedence, "lifts", (int)options->lifts, "vcpus", options->vcpus, "cards",
+        options->cards, "memory_gb", options->memory_gb, "payload", options->payload, "image_gb",
+        job->image_gb, "frames", "yard", "one_zone", 0, "spread", 0, "loaners", 0, "run_guess_s",
         options->run_guess_s, "brace_every_s", 0.0, "brace_s", 0.0, "due_s");
     job->is_result_kept = calloc(job->lifts, sizeof(bool));
     if (!job->spec || !job->is_result_kept)
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -120,7 +120,7 @@
 struct job_options {
     const char *rig, *crew, *haul, *precedence, *payload;
     uint32_t lifts;
-    double vcpus, memory_gb;
+    double vcpus, cards, memory_gb;
     double run_guess_s, run_s; /**< the owner's estimate, and a task's true run time */
     double submit_at;
     double cancel_at; /**< 0: never */
