--- a/review/standin/platform.c
+++ b/review/standin/platform.c
@@ -15,6 +15,9 @@
 #include "base/log.h"
 
 #define STEP_S 0.01
+#define PORT_MIN 12000
+#define PORTS 18000
+#define PORTS_APART 101 /* between the first ports of two processes with consecutive ids */
 #define RUN_MAX_S 117
 #define SUBMIT_TIMEOUT_S 5.0
 #define POLL_TIMEOUT_S 2.0
@@ -38,18 +41,27 @@
     fflush(platform->record);
 }
 
-/* A port that was free a moment ago. */
+/* A port that was free a moment ago, below those that the system gives to outgoing connections: a
+ * node that is started again finds its port still free. */
 int free_port(void) {
-    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (fd < 0 || bind(fd, (struct sockaddr *)&address, len) < 0 ||
-        getsockname(fd, (struct sockaddr *)&address, &len) < 0) {
-        perror("free_port");
-        exit(2);
+    static unsigned next;
+    if (next == 0)
+        next = (unsigned)getpid() * PORTS_APART;
+    for (int tries = 0; tries < PORTS; tries++) {
+        struct sockaddr_in address = {.sin_family = AF_INET,
+                                      .sin_port = htons((uint16_t)(PORT_MIN + next++ % PORTS)),
+                                      .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+        int one = 1;
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        bool is_free = fd >= 0 && setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) == 0 &&
+                       bind(fd, (struct sockaddr *)&address, sizeof address) == 0;
+        if (fd >= 0)
+            close(fd);
+        if (is_free)
+            return ntohs(address.sin_port);
     }
-    close(fd);
-    return ntohs(address.sin_port);
+    fprintf(stderr, "no free port\n");
+    exit(2);
 }
 
 /* ---- the node processes ---- */
