--- a/review/stand-ins-2/world.c
+++ b/review/stand-ins-2/world.c
@@ -959,7 +959,8 @@
     snprintf(directory, sizeof directory, "/tmp/review-2-%s-XXXXXX", options.name);
     if (!record_file || !mkdtemp(directory) || rp_loop_init(&loop, false) < 0)
         return false;
-    next_port = 20000 + (int)(getpid() % 20000);
+    /* Below the ports that the kernel gives to outgoing connections. */
+    next_port = 10000 + (int)(getpid() % 20000);
     change_log = json_array();
     hires = json_object();
     rp_http_client_init(&client, &loop, 200, 600, 1 << 20);
