--- a/review/5/case.c
+++ b/review/6/case.c
@@ -70,8 +70,8 @@
     const char *trouble = getenv("TROUBLE");
     has_trouble = !trouble || strcmp(trouble, "0") != 0;
     options = (struct world_options){
-        .name = "5",
-        .record_path = argc > 1 ? argv[1] : "review/5/record.txt",
+        .name = "6",
+        .record_path = argc > 1 ? argv[1] : "review/6/record.txt",
         .catalog = "{\"frames\":[{\"name\":\"kea-small\",\"vcpus\":8,\"cards\":0,\"memory_gb\":32,"
                    "\"cache_gb\":50,\"fetch_gb_per_s\":0.3,\"price\":0.36,\"market_price\":0.11,"
                    "\"boot_s\":35,\"yards\":[\"tarawera\"]}]}",
