review: case 5, two jobs with a mistake keep new work from a sound machine for good

Cause: cluster/quarantine sets a machine aside after one error each of two jobs and never takes that back; it is released only once it is idle.

--- a/review/stand-ins-2/world.c
+++ b/review/stand-ins-2/world.c
@@ -21,6 +21,7 @@
 #define RETRY_S 1.0
 #define FOREMAN_DELAY_S 0.2
 #define CHANGE_DELAY_S 0.5
+#define FAILS_AFTER_S 0.5
 #define USER_TIMEOUT_S 5.0
 #define POLL_TIMEOUT_S 2.0
 #define LEASES_MAX 256
@@ -465,14 +466,22 @@
     return NULL;
 }
 
-static double free_vcpus(const struct world_machine *machine) {
-    double vcpus = 8;
+double free_vcpus(const struct world_machine *machine) {
+    double vcpus = machine->vcpus;
     for (int i = 0; i < machine->n_tasks; i++)
         if (machine->tasks[i].state != TASK_EXITED)
             vcpus -= machine->tasks[i].job->vcpus;
     return vcpus;
 }
 
+static double free_cards(const struct world_machine *machine) {
+    double cards = machine->cards;
+    for (int i = 0; i < machine->n_tasks; i++)
+        if (machine->tasks[i].state != TASK_EXITED)
+            cards -= machine->tasks[i].job->cards;
+    return cards;
+}
+
 static void run_task(struct world_machine *machine, struct world_job *job, int index,
                      json_int_t pull) {
     bool is_in_use = false;
@@ -486,7 +495,8 @@
     }
     if (machine->n_tasks == WORLD_TASKS_MAX)
         return;
-    double left = free_vcpus(machine);
+    bool has_room =
+        free_vcpus(machine) >= job->vcpus - 1e-9 && free_cards(machine) >= job->cards - 1e-9;
     struct world_task *task = &machine->tasks[machine->n_tasks++];
     *task = (struct world_task){
         .job = job, .index = index, .pull = pull, .ready_at = world_now() + options.fetch_s};
@@ -494,7 +504,7 @@
     record("worker %s: run %s/%d pull %lld", machine->name, job->ref, index, (long long)pull);
     if (is_in_use)
         exit_task(machine, task, "in_use");
-    else if (left < job->vcpus - 1e-9)
+    else if (!has_room)
         exit_task(machine, task, "no_room");
 }
 
@@ -615,6 +625,9 @@
         machine->has_changed = true;
         record("worker %s: task %s/%d pull %lld has its image and runs", machine->name,
                task->job->ref, task->index, (long long)task->pull);
+    } else if (task->state == TASK_RUNNING && task->job->has_mistake &&
+               world_now() >= task->running_since + FAILS_AFTER_S) {
+        exit_task(machine, task, "error");
     } else if (task->state == TASK_RUNNING && strcmp(task->job->haul, "service") != 0 &&
                world_now() >= task->running_since + task->job->run_s) {
         exit_task(machine, task, "done");
@@ -670,17 +683,42 @@
 
 /* ---- the cloud ---- */
 
+static bool has_capacity(const char *frame, const char *yard, bool is_spot) {
+    int n = 0;
+    if (!options.capacity)
+        return true;
+    for (int i = 0; i < n_machines; i++)
+        n += !machines[i].is_gone && machines[i].is_spot == is_spot &&
+             strcmp(machines[i].frame, frame) == 0 && strcmp(machines[i].yard, yard) == 0;
+    return n < options.capacity(frame, yard, is_spot);
+}
+
+static void set_amounts(struct world_machine *machine, const json_t *catalog) {
+    json_t *type;
+    size_t i;
+    json_array_foreach(json_object_get(catalog, "frames"), i, type) {
+        if (strcmp(json_string_value(json_object_get(type, "name")), machine->frame) == 0) {
+            machine->vcpus = json_number_value(json_object_get(type, "vcpus"));
+            machine->cards = json_number_value(json_object_get(type, "cards"));
+        }
+    }
+}
+
 static json_t *rent(const json_t *body) {
     json_t *names = json_array();
     json_t *catalog = json_loads(options.catalog, 0, NULL);
     int n = (int)json_integer_value(json_object_get(body, "count"));
-    for (; n > 0 && n_machines < WORLD_MACHINES_MAX; n--) {
+    const char *frame = json_string_value(json_object_get(body, "frame"));
+    const char *yard = json_string_value(json_object_get(body, "yard"));
+    bool is_spot = json_is_true(json_object_get(body, "loaners"));
+    for (; n > 0 && n_machines < WORLD_MACHINES_MAX && has_capacity(frame, yard, is_spot); n--) {
         struct world_machine *machine = &machines[n_machines];
         snprintf(machine->name, sizeof machine->name, "%s%06d", options.name_prefix,
                  200 + n_machines);
-        machine->frame = strdup(json_string_value(json_object_get(body, "frame")));
-        machine->yard = strdup(json_string_value(json_object_get(body, "yard")));
-        machine->is_spot = json_is_true(json_object_get(body, "loaners"));
+        machine->frame = strdup(frame);
+        machine->yard = strdup(yard);
+        machine->is_spot = is_spot;
+        set_amounts(machine, catalog);
         machine->rented_at = world_now();
         machine->boots_at = world_now() + options.boot_s(n_machines);
         open_server(&machine_servers[n_machines], machine->address, on_machine_request, machine);
@@ -733,6 +771,7 @@
         if (!names) {
             names = rent(body);
             if (json_array_size(names) == 0) {
+                record("cloud: request %s: 503, no capacity: %s", hire, req->body);
                 json_decref(names);
                 respond(req, 503, json_pack("{s:s}", "error", "no capacity"));
                 json_decref(body);
@@ -793,13 +832,14 @@
 
 static void submit(struct world_job *job) {
     bool is_service = strcmp(job->haul, "service") == 0;
+    json_t *frames = job->frame ? json_pack("[s]", job->frame) : json_null();
     json_t *body = json_pack(
-        "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:n,s:n,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
+        "{s:s,s:s,s:s,s:s,s:s,s:i,s:f,s:f,s:f,s:s,s:f,s:o,s:s?,s:b,s:b,s:b,s:f,s:f,s:f,s:n}", "ref",
         job->ref, "rig", "mirror-sync-array", "crew", job->crew, "haul", job->haul, "precedence",
-        "low", "lifts", job->lifts, "vcpus", job->vcpus, "cards", 0.0, "memory_gb", 3.6, "payload",
-        "img-1", "image_gb", 1.8, "frames", "yard", "one_zone", 0, "spread", 0, "loaners", 0,
-        "run_guess_s", is_service ? 0.0 : job->run_s, "brace_every_s", 0.0, "brace_s", 0.0,
-        "due_s");
+        job->precedence ? job->precedence : "low", "lifts", job->lifts, "vcpus", job->vcpus,
+        "cards", job->cards, "memory_gb", 3.6, "payload", "img-1", "image_gb", 1.8, "frames",
+        frames, "yard", job->yard, "one_zone", 0, "spread", 0, "loaners", 0, "run_guess_s",
+        is_service ? 0.0 : job->run_s, "brace_every_s", 0.0, "brace_s", 0.0, "due_s");
     char *text = json_dumps(body, JSON_COMPACT);
     job->submit_at = 1e9;
     net.call(net.ctx, nodes[job->node].client, "POST", "/v1/jobs", text, USER_TIMEOUT_S,
@@ -960,7 +1000,7 @@
     if (!record_file || !mkdtemp(directory) || rp_loop_init(&loop, false) < 0)
         return false;
     /* Below the ports that the kernel gives to outgoing connections. */
-    next_port = 10000 + (int)(getpid() % 20000);
+    next_port = 10000 + (int)(getpid() * 101 % 20000);
     change_log = json_array();
     hires = json_object();
     rp_http_client_init(&client, &loop, 200, 600, 1 << 20);
--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -11,8 +11,8 @@
 
 #define WORLD_NODES 3
 #define WORLD_MACHINES_MAX 64
-#define WORLD_TASKS_MAX 32
-#define WORLD_JOBS_MAX 32
+#define WORLD_TASKS_MAX 64
+#define WORLD_JOBS_MAX 64
 #define WORLD_TEXT_MAX 96
 
 enum task_state { TASK_FETCHING, TASK_RUNNING, TASK_FLUSHING, TASK_EXITED };
@@ -20,6 +20,11 @@
 struct world_job {
     char ref[32];
     const char *haul, *crew;
+    const char *frame; /* the only allowed machine type; NULL: any */
+    const char *yard;  /* the only allowed zone; NULL: any */
+    double cards;
+    const char *precedence; /* NULL: low */
+    bool has_mistake;       /* its tasks fail on every machine */
     int lifts;
     double vcpus, run_s;
     double submit_at; /* seconds since the start of the case */
@@ -41,6 +46,7 @@
 struct world_machine {
     char name[WORLD_TEXT_MAX], address[32];
     const char *frame, *yard;
+    double vcpus, cards; /* of its type */
     bool is_spot, is_up, is_gone;
     bool is_cut; /* no message from or to it arrives; its tasks go on */
     double rented_at, boots_at;
@@ -65,6 +71,8 @@
     const char *name_prefix;   /* before the number in the machines' names */
     double fetch_s;            /* time of an image fetch */
     double lease_s, report_s, cancel_s;
+    /* The number of machines of this type, zone and kind that the cloud has. NULL: any number. */
+    int (*capacity)(const char *frame, const char *yard, bool is_spot);
     double duration_s;           /* the case ends after this time */
     double (*boot_s)(int index); /* time until the machine with this number is up */
     void (*on_step)(void);       /* called about every 20 ms */
@@ -112,6 +120,8 @@
 
 /* ---- workers and users ---- */
 
+/* What the tasks on the machine leave free. */
+double free_vcpus(const struct world_machine *machine);
 bool task_is_on_machine(const struct world_machine *machine, const struct world_task *task);
 struct world_job *add_job(const char *ref, const char *haul, int lifts, double vcpus, double run_s,
                           double submit_at, int node);
