cluster: a machine that moves to another record is marked as up in both or in neither

Cause: the new record of a split marked a machine as up, and the machine got work, while the old record still named it without a mark. The loader took the first record that names a machine, ignored the mark in the other one and deleted that record.

Change: a machine gets its first mark only when no other record names it any more; the loader believes a single mark, gives the machine to a record that has it, and writes the other one again. After a lost answer the record is read, and counts as written if it is what was to be written: new machines could otherwise wait for work as long as answers are lost.

--- a/src/cluster/machine.h
+++ b/src/cluster/machine.h
@@ -155,6 +155,8 @@
     enum rp_machine_state state;
     bool recorded;    /* a durable record names the machine */
     bool up_recorded; /* a durable record marks the machine as up; no task is started before */
+    unsigned n_stale_records; /* records of other requests that name the machine, too, until they
+                                 are written again: it is not marked as up before */
     struct rp_provision_request *provision_request;
     struct timespec requested_at, up_at, lost_since;
     struct rp_scale_in scale_in;
--- a/src/cluster/machine_lifecycle.c
+++ b/src/cluster/machine_lifecycle.c
@@ -50,6 +50,7 @@
  * - (new) -> BOOTING: an earlier leader's record names the machine but does not mark it as up;
  * - (new) -> BOOTING: no record names the machine, but it reports or the cloud lists it;
  * - (new) -> UNRECONCILED: an earlier leader's record names the machine and marks it as up;
+ * - BOOTING -> UNRECONCILED: of two records that name the machine, only the second marks it as up;
  * - BOOTING, UNRECONCILED, LOST -> UP: a heartbeat shows this leader's fencing token, which proves
  *   that its list of tasks is complete;
  * - UP, UNRECONCILED -> LOST: the machine was silent until its lease expired;
--- a/src/cluster/provision_loading.c
+++ b/src/cluster/provision_loading.c
@@ -36,8 +36,8 @@
     return rp_ts_after(last_answer_at, rp_settings_worker_lease_s(context->settings));
 }
 
-/* Adds a machine that a record names. No leader starts a task on a machine before its record marks
- * the machine as up, so a machine that is not marked holds no task. */
+/* Adds a machine that a record names. No leader starts a task on a machine before every record that
+ * names it marks it as up, so a machine that is not marked by any record holds no task. */
 static void load_machine(const struct rp_fleet_context *context,
                          struct rp_provision_request *request, const char *name, bool is_up,
                          double age_s) {
@@ -51,6 +51,25 @@
     machine->contact.lease_expiry = earlier_leaders_lease_expiry(context);
 }
 
+/* Handles a machine that an earlier record names, too: it was moving to another request when an
+ * earlier leader ended. A single mark counts, since an earlier version wrote marks that the other
+ * record lacked. The machine belongs to a record that marks it, if there is one; the other record
+ * is written again, or deleted, without it. */
+static void load_second_name(const struct rp_fleet_context *context,
+                             struct rp_provision_request *request, struct rp_machine *machine,
+                             bool is_up) {
+    struct rp_provision_request *stale = request;
+    if (machine->provision_request == request)
+        return;
+    if (is_up && !machine->up_recorded) {
+        stale = machine->provision_request;
+        machine->provision_request = request;
+        machine->up_recorded = true;
+        rp_machine_set_state(context->cluster, machine, RP_MACHINE_UNRECONCILED);
+    }
+    rp_provision_request_add_moved_name(stale, machine);
+}
+
 static void load_record(struct rp_provisioning *provisioning, const struct rp_kv_item *item) {
     const struct rp_fleet_context *context = provisioning->context;
     struct rp_provision_request *request =
@@ -70,15 +89,26 @@
     double age_s = request_age_s(context, &request->record);
     for (size_t i = 0; i < rp_record_provision_n_names(item->value); i++) {
         const char *name = rp_record_provision_name(item->value, i);
-        if (name && !rp_machine_find(context->cluster, name))
-            load_machine(context, request, name, rp_record_provision_is_up(item->value, name),
-                         age_s);
+        if (!name)
+            continue;
+        struct rp_machine *machine = rp_machine_find(context->cluster, name);
+        bool is_up = rp_record_provision_is_up(item->value, name);
+        if (machine)
+            load_second_name(context, request, machine, is_up);
+        else
+            load_machine(context, request, name, is_up, age_s);
     }
-    /* After an interrupted split, every machine of this record may be named by another record, too;
-     * the request then has no machine and has ended. */
-    bool has_machines = rp_provision_request_has_machines(context, request);
-    rp_provision_request_set_state(context, request,
-                                   has_machines ? RP_PROVISION_LIVE : RP_PROVISION_ENDED);
+    rp_provision_request_set_state(context, request, RP_PROVISION_LIVE);
+}
+
+/* Once all records are read: a request all of whose machines belong to others has ended. */
+static void end_requests_without_machines(struct rp_provisioning *provisioning) {
+    const struct rp_fleet_context *context = provisioning->context;
+    for (struct rp_provision_request *request = provisioning->requests.first; request;
+         request = request->next)
+        if (request->state == RP_PROVISION_LIVE &&
+            !rp_provision_request_has_machines(context, request))
+            rp_provision_request_set_state(context, request, RP_PROVISION_ENDED);
 }
 
 static void load_page(struct load_call *call, const char *after);
@@ -101,6 +131,7 @@
         load_page(call, item.key);
         return;
     }
+    end_requests_without_machines(provisioning);
     call->on_loaded(call->arg, true);
 out:
     free(call);
--- a/src/cluster/provision_request.c
+++ b/src/cluster/provision_request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <utlist.h>
 #include "base/memory.h"
+#include "base/string_copy.h"
 
 struct rp_provision_request *rp_provision_request_find(const struct rp_provision_requests *requests,
                                                        const char *name) {
@@ -26,6 +27,7 @@
 void rp_provision_request_remove(struct rp_provision_requests *requests,
                                  struct rp_provision_request *request) {
     LL_DELETE(requests->first, request);
+    free(request->moved_names);
     free(request);
 }
 
@@ -54,7 +56,7 @@
  *   this request takes over half of its machines;
  * - RECORDING_NAMES -> LIVE: the names are durable; tasks may be started on machines that are up;
  * - (new) -> LIVE: a record with names was loaded;
- * - (new) -> ENDED: a record was loaded whose machines are all named by other records, too;
+ * - LIVE -> ENDED: after the load, every machine of the record belongs to another loaded record;
  * - RECORDING_NAMES, LIVE -> ENDED: the request's last machine has been terminated;
  * - ENDED -> (freed): the record has been deleted, or none was written. */
 void rp_provision_request_set_state(const struct rp_fleet_context *context,
@@ -83,10 +85,43 @@
 }
 
 void rp_provision_request_move_machines(const struct rp_fleet_context *context,
-                                        const struct rp_provision_request *request,
+                                        struct rp_provision_request *request,
                                         struct rp_provision_request *second, size_t n_kept) {
     size_t n = 0;
-    for (struct rp_machine *machine = context->cluster->first; machine; machine = machine->next)
-        if (machine->provision_request == request && n++ >= n_kept)
-            machine->provision_request = second;
+    for (struct rp_machine *machine = context->cluster->first; machine; machine = machine->next) {
+        if (machine->provision_request != request || n++ < n_kept)
+            continue;
+        machine->provision_request = second;
+        rp_provision_request_add_moved_name(request, machine);
+    }
+}
+
+void rp_provision_request_add_moved_name(struct rp_provision_request *request,
+                                         struct rp_machine *machine) {
+    request->moved_names =
+        rp_realloc(request->moved_names, request->n_moved_names + 1, sizeof *request->moved_names);
+    rp_string_copy(request->moved_names[request->n_moved_names++], RP_TEXT_MAX, machine->name);
+    machine->n_stale_records++;
+    request->is_dirty = true;
+}
+
+void rp_provision_request_clear_moved_names(const struct rp_fleet_context *context,
+                                            struct rp_provision_request *request) {
+    for (size_t i = 0; i < request->n_moved_names; i++) {
+        struct rp_machine *machine = rp_machine_find(context->cluster, request->moved_names[i]);
+        if (!machine || machine->n_stale_records == 0)
+            continue; /* the machine has been terminated */
+        machine->n_stale_records--;
+        bool can_be_marked = !machine->up_recorded && rp_provision_request_marks_up(machine);
+        if (can_be_marked && machine->provision_request)
+            machine->provision_request->is_dirty = true;
+    }
+    free(request->moved_names);
+    request->moved_names = NULL;
+    request->n_moved_names = 0;
+}
+
+bool rp_provision_request_marks_up(const struct rp_machine *machine) {
+    bool has_reported = machine->contact.incarnation > 0;
+    return machine->up_recorded || (has_reported && machine->n_stale_records == 0);
 }
--- a/src/cluster/provision_request.h
+++ b/src/cluster/provision_request.h
@@ -1,7 +1,8 @@
 /** @file
  * Provision requests. A provision request is one call to the cloud for machines, with one stored
  * record and the machines that the cloud provided (docs/safety.md). Every machine that may hold
- * tasks is named by the durable record of exactly one request.
+ * tasks is marked as up by each durable record that names it. More than one record names a machine
+ * only while it moves from one request to another.
  *
  * This module has the list of requests and their state machine; provisioning.c performs the steps
  * of each state. */
@@ -36,6 +37,9 @@
     char write_after[RP_TEXT_MAX]; /* name of the request that takes over machines of this request,
                                       and whose record must therefore be written before this
                                       request's record; "": none */
+    char (*moved_names)[RP_TEXT_MAX]; /* machines that the record names although they belong to
+                                         other requests; owned */
+    size_t n_moved_names;
     struct rp_provision_request *next;
 };
 
@@ -70,7 +74,18 @@
                                        const struct rp_provision_request *request);
 /** Moves the request's machines to `second`, except for the first `n_kept`. */
 void rp_provision_request_move_machines(const struct rp_fleet_context *context,
-                                        const struct rp_provision_request *request,
+                                        struct rp_provision_request *request,
                                         struct rp_provision_request *second, size_t n_kept);
+/** Notes that the request's record names the machine although the machine belongs to another
+ * request. The record has to be written again, and the machine is not marked as up before. */
+void rp_provision_request_add_moved_name(struct rp_provision_request *request,
+                                         struct rp_machine *machine);
+/** Forgets the moved names: the record does not name them any more. Marks the records dirty in
+ * which machines can be marked as up now. */
+void rp_provision_request_clear_moved_names(const struct rp_fleet_context *context,
+                                            struct rp_provision_request *request);
+/** Whether the next record of the machine's request marks the machine as up. While a record that
+ * does not mark it names it, too, a leader that loads both could take it for one that boots. */
+bool rp_provision_request_marks_up(const struct rp_machine *machine);
 
 #endif
--- a/src/cluster/provisioning.c
+++ b/src/cluster/provisioning.c
@@ -92,9 +92,13 @@
 static void on_record_durable(struct rp_provisioning *provisioning,
                               struct rp_provision_request *request,
                               enum rp_provision_state written_state, uint64_t revision) {
+    bool can_mark_others = request->n_moved_names > 0;
     request->revision = revision;
+    rp_provision_request_clear_moved_names(provisioning->context, request);
     if (written_state == RP_PROVISION_ENDED) {
         rp_provision_request_remove(&provisioning->requests, request);
+        if (can_mark_others)
+            rp_provisioning_step_all(provisioning);
         return;
     }
     request->stored = true;
@@ -107,7 +111,10 @@
         rp_provision_request_set_state(provisioning->context, request, RP_PROVISION_LIVE);
     else if (written_state == RP_PROVISION_LIVE)
         rp_fleet_context_notify(provisioning->context);
-    rp_provisioning_step(provisioning, request);
+    if (can_mark_others)
+        rp_provisioning_step_all(provisioning);
+    else
+        rp_provisioning_step(provisioning, request);
 }
 
 static void on_write_failed(struct rp_provisioning *provisioning,
@@ -155,27 +162,6 @@
     provision_call_free(call);
 }
 
-static void on_revision_read(void *arg, const struct rp_kv_result *result) {
-    struct provision_call *call = arg;
-    struct rp_provisioning *provisioning = call->provisioning;
-    struct rp_provision_request *request = request_of_call(call);
-    struct rp_kv_item item;
-    provision_call_free(call);
-    if (!request)
-        return;
-    request->in_flight = false;
-    if (result->outcome == RP_KV_NOT_FOUND) {
-        request->revision = 0;
-    } else if (rp_kv_result_item(result, &item)) {
-        request->revision = item.revision;
-    } else {
-        rp_provision_request_retry_after(provisioning->context, request, READ_RETRY_S);
-        return;
-    }
-    request->revision_known = true;
-    rp_provisioning_step(provisioning, request);
-}
-
 /* Builds the request's current record. If `call` is set, stores in it the names of the machines
  * that the record marks as up. */
 static json_t *build_record(const struct rp_provisioning *provisioning,
@@ -190,7 +176,7 @@
         if (machine->provision_request != request)
             continue;
         names[n] = machine->name;
-        is_up[n] = machine->up_recorded || machine->contact.incarnation > 0;
+        is_up[n] = rp_provision_request_marks_up(machine);
         if (call)
             rp_string_copy(call->names[n], sizeof call->names[n], is_up[n] ? machine->name : "");
         n++;
@@ -201,11 +187,58 @@
                                   rp_record_provision(&request->record, names, is_up, n));
 }
 
-/* Splits a record that is larger than a value in the store may be. Such records exist because the
- * previous version wrote up to 50 names, and the store's limit has been lowered since. A new record
- * takes over the second half of the names and is written first, then the old record is written
- * without those names. A leader that loads both records between the two writes uses, for each
- * machine, the first record that names it. Returns false if no split is needed. */
+/* Whether `stored`, the record in the store, is the one that the request would write now: a write
+ * without a response was carried out. The record counts as written then; otherwise, while responses
+ * are lost, writes would be repeated without end. Returns whether it does. */
+static bool take_as_written(struct rp_provisioning *provisioning,
+                            struct rp_provision_request *request, const json_t *stored) {
+    bool is_written;
+    if (request->state == RP_PROVISION_ENDED || !stored)
+        return false;
+    struct provision_call *call = provision_call_new(provisioning, request);
+    call->names = rp_alloc(MACHINES_PER_RECORD_MAX, sizeof *call->names);
+    json_t *current = build_record(provisioning, request, call);
+    is_written = json_equal(current, stored);
+    if (is_written) {
+        request->is_dirty = false;
+        mark_up_recorded(call, request);
+        on_record_durable(provisioning, request, request->state, request->revision);
+    }
+    json_decref(current);
+    provision_call_free(call);
+    return is_written;
+}
+
+static void on_revision_read(void *arg, const struct rp_kv_result *result) {
+    struct provision_call *call = arg;
+    struct rp_provisioning *provisioning = call->provisioning;
+    struct rp_provision_request *request = request_of_call(call);
+    struct rp_kv_item item = {0};
+    provision_call_free(call);
+    if (!request)
+        return;
+    request->in_flight = false;
+    if (result->outcome == RP_KV_NOT_FOUND) {
+        request->revision = 0;
+    } else if (rp_kv_result_item(result, &item)) {
+        request->revision = item.revision;
+        request->stored = true;
+    } else {
+        rp_provision_request_retry_after(provisioning->context, request, READ_RETRY_S);
+        return;
+    }
+    request->revision_known = true;
+    if (!take_as_written(provisioning, request, item.value))
+        rp_provisioning_step(provisioning, request);
+}
+
+/* Splits a record that is larger than a value in the store may be: its names are longer than
+ * expected, or the previous version wrote it and the store's limit has been lowered since. A new
+ * record takes over the second half of the names and is written first, then the old record is
+ * written without those names. Between the two writes both records name these machines, and neither
+ * marks one as up that the other does not (rp_provision_request_marks_up): without that, a leader
+ * that loads the records would take a machine with tasks for one that boots
+ * (docs/incidents/review-4-split-records.md). Returns false if no split is needed. */
 static bool split_record(struct rp_provisioning *provisioning,
                          struct rp_provision_request *request) {
     const struct rp_fleet_context *context = provisioning->context;
@@ -368,6 +401,12 @@
            rp_election_is_valid(context->election, now);
 }
 
+/* Whether the request's record exists in the store, or may still be written by a request without a
+ * response. */
+static bool may_be_stored(const struct rp_provision_request *request) {
+    return request->stored || !request->revision_known;
+}
+
 /* Whether another request's record must be written before this one's. */
 static bool should_wait_for_other(const struct rp_provisioning *provisioning,
                                   const struct rp_provision_request *request) {
@@ -396,10 +435,12 @@
             write_record(provisioning, request);
         break;
     case RP_PROVISION_ENDED:
-        if (request->stored)
+        if (may_be_stored(request)) {
             write_record(provisioning, request);
-        else
+        } else {
+            rp_provision_request_clear_moved_names(provisioning->context, request);
             rp_provision_request_remove(&provisioning->requests, request);
+        }
         break;
     }
 }
@@ -416,7 +457,8 @@
 
 void rp_provisioning_record_up(struct rp_provisioning *provisioning, struct rp_machine *machine) {
     struct rp_provision_request *request = machine->provision_request;
-    if (machine->up_recorded || !request || request->is_dirty)
+    if (machine->up_recorded || !request || request->is_dirty ||
+        !rp_provision_request_marks_up(machine))
         return;
     request->is_dirty = true;
     rp_provisioning_step(provisioning, request);
--- a/tests/simulation/cloud.c
+++ b/tests/simulation/cloud.c
@@ -57,7 +57,7 @@
                         : sim_types[pool->type].boot * (0.3 + 1.2 * sim_uniform(sim)));
     if (sim_chance(sim, sim->faults.boot_failure))
         worker->boots_at = SIM_NEVER;
-    snprintf(worker->name, sizeof worker->name, "vm-%06d", sim->next_machine++);
+    snprintf(worker->name, sizeof worker->name, "%s%06d", sim->machine_prefix, sim->next_machine++);
 }
 
 /* Provisions machines; a repeated request gets the machines of the first request with its name. */
--- a/tests/simulation/faults.c
+++ b/tests/simulation/faults.c
@@ -12,17 +12,67 @@
 
 /* ---- messages in transit ---- */
 
+/* Copies the first key with the prefix that the transaction changes; returns false if there is
+ * none.
+ */
+static bool find_changed_key(const char *body, const char *prefix, char key[RP_KEY_MAX]) {
+    json_t *txn = json_loads(body, JSON_DECODE_ANY, NULL);
+    json_t *change;
+    size_t i;
+    key[0] = '\0';
+    json_array_foreach(json_object_get(txn, "then"), i, change) {
+        const char *changed = json_string_value(json_object_get(change, "write"));
+        changed = changed ? changed : json_string_value(json_object_get(change, "delete"));
+        if (!*key && changed && strncmp(changed, prefix, strlen(prefix)) == 0)
+            snprintf(key, RP_KEY_MAX, "%s", changed);
+    }
+    json_decref(txn);
+    return *key != '\0';
+}
+
+/* Makes a transaction get no response. A copy is executed after `after_s` seconds, the original is
+ * not. */
+static void lose_answer(struct sim *sim, struct sim_event *event, double after_s) {
+    sim_request_duplicate(sim, event, after_s);
+    event->unsent = true;
+    event->due_at = event->deadline;
+}
+
+static void interrupt(struct sim *sim, struct sim_event *event) {
+    struct sim_interruption *interruption = &sim->interruption;
+    char key[RP_KEY_MAX];
+    if (!find_changed_key(event->body, interruption->prefix, key))
+        return;
+    bool has_happened = interruption->happened_at > 0;
+    bool is_repeated = interruption->repeats && strcmp(key, interruption->key) == 0;
+    interruption->n_seen++;
+    if (has_happened ? !is_repeated : interruption->n_seen < interruption->nth)
+        return;
+    if (!has_happened) {
+        interruption->happened_at = sim->now;
+        interruption->node = event->node;
+        strcpy(interruption->key, key);
+    }
+    if (interruption->kind == SIM_WRITE_LOST) {
+        event->unsent = true;
+        event->due_at = event->deadline;
+    } else {
+        lose_answer(sim, event,
+                    interruption->kind == SIM_WRITE_LATE ? SIM_LATE_WRITE_S
+                                                         : event->due_at - sim->now);
+    }
+}
+
 /* Makes a transaction get no response: it is executed at once, or 2 to 12 s later and thereby after
- * newer transactions. The copy is executed, the original is not. */
+ * newer transactions. */
 void sim_inject_transaction_fault(struct sim *sim, struct sim_event *event) {
     bool is_delayed = sim_chance(sim, sim->faults.delayed_write);
     bool is_answer_dropped = !is_delayed && sim_chance(sim, sim->faults.dropped_answer);
+    if (sim->interruption.prefix)
+        interrupt(sim, event);
     if (!is_delayed && !is_answer_dropped)
         return;
-    sim_request_duplicate(sim, event,
-                          is_delayed ? 2 + 10 * sim_uniform(sim) : event->due_at - sim->now);
-    event->unsent = true;
-    event->due_at = event->deadline;
+    lose_answer(sim, event, is_delayed ? 2 + 10 * sim_uniform(sim) : event->due_at - sim->now);
     sim->n_delayed_writes += is_delayed;
     sim->n_dropped_answers += is_answer_dropped;
 }
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -131,6 +131,27 @@
  * observer. The observer does not influence what happens in the simulation. */
 extern void (*sim_observer)(const struct sim_message *message);
 
+/* What happens to an interrupted transaction, whose sender gets no response. */
+enum sim_interruption_kind {
+    SIM_WRITE_LOST,        /* it is never executed */
+    SIM_WRITE_LATE,        /* it is executed SIM_LATE_WRITE_S seconds later */
+    SIM_WRITE_ANSWER_LOST, /* it is executed at once */
+    SIM_INTERRUPTIONS      /* number of kinds */
+};
+#define SIM_LATE_WRITE_S 8.0
+
+/* Interrupts one transaction: the `nth` one, counted from 1, of those that change a key with the
+ * prefix. With `repeats`, all further ones that change the same key are interrupted, too. */
+struct sim_interruption {
+    const char *prefix; /* NULL: none */
+    unsigned long nth, n_seen;
+    enum sim_interruption_kind kind;
+    bool repeats;
+    int node;             /* which sent the first interrupted transaction */
+    char key[RP_KEY_MAX]; /* which that transaction changes */
+    double happened_at;   /* 0: not yet */
+};
+
 /* The limits of the key-value store: bytes in one value, changes in one transaction, and changes
  * written per second. */
 struct sim_limits {
@@ -257,6 +278,8 @@
     uint64_t next_lease, revision;
     uint64_t first_number; /* workers' incarnations and sequence numbers begin after this one */
     json_t *change_log;    /* all changes in the order of their revisions, for watches */
+    struct sim_interruption interruption;
+    const char *machine_prefix; /* of the names of new machines; begins with "vm-" */
     double store_outage_until;
     double cloud_outage_until;
     int delayed_worker;          /* 1 + the worker whose heartbeats are held back, 0: none */
--- a/tests/simulation/test_records.c
+++ b/tests/simulation/test_records.c
@@ -147,6 +147,46 @@
     sim_free(sim);
 }
 
+/* An earlier version was interrupted while it split a record: the old record names a machine
+ * without a mark, the new one marks it as up. No leader may take it for a machine that boots, and
+ * the record with the mark must not be deleted while the other one names the machine. */
+static void machine_marked_by_one_of_two_records_may_hold_tasks(void **state) {
+    static const char old_record[] = "{\"type\":\"wide\",\"zone\":\"a\",\"spot\":false,\"count\":2,"
+                                     "\"asked\":1790000000.5,\"machines\":[\"vm-900001\","
+                                     "\"vm-900002\"],\"up\":[]}";
+    static const char new_record[] = "{\"type\":\"wide\",\"zone\":\"a\",\"spot\":false,\"count\":1,"
+                                     "\"asked\":1790000000.5,\"machines\":[\"vm-900002\"],"
+                                     "\"up\":[\"vm-900002\"]}";
+    struct sim *sim = scenario_new(54, 3);
+    (void)state;
+    sim_put_record(sim, RP_KEY_PROVISION "r-1-1", old_record);
+    sim_put_record(sim, RP_KEY_PROVISION "s-1-2", new_record);
+    sim->interruption = (struct sim_interruption){
+        .prefix = RP_KEY_PROVISION, .nth = 1, .kind = SIM_WRITE_LATE, .repeats = true};
+    for (int leader = 0; leader < 3; leader++) {
+        while (sim_leader(sim) < 0)
+            sim_run(sim, 0.02);
+        const struct rp_node *node = scenario_leader(sim);
+        const struct rp_machine *booting = rp_machine_find(&node->cluster, "vm-900001");
+        const struct rp_machine *marked = rp_machine_find(&node->cluster, "vm-900002");
+        assert_int_equal(booting->state, RP_MACHINE_BOOTING);
+        assert_int_equal(marked->state, RP_MACHINE_UNRECONCILED);
+        assert_true(marked->up_recorded);
+        sim_run(sim, 1);
+        sim_crash(sim, sim_leader(sim), 0.2);
+    }
+    sim_run(sim, 12);
+    json_t *first = json_deep_copy(sim_find_record(sim, RP_KEY_PROVISION "r-1-1"));
+    json_t *second = json_deep_copy(sim_find_record(sim, RP_KEY_PROVISION "s-1-2"));
+    assert_int_equal(rp_record_provision_n_names(first), 1);
+    assert_string_equal(rp_record_provision_name(first, 0), "vm-900001");
+    assert_true(rp_record_provision_is_up(second, "vm-900002"));
+    json_decref(first);
+    json_decref(second);
+    scenario_expect_no_violation(sim, 54);
+    sim_free(sim);
+}
+
 /* Records that cannot be read, or that a later version wrote, must remain unchanged and must not
  * affect any other job. */
 static void unreadable_records_stay_unchanged(void **state) {
@@ -181,6 +221,7 @@
         cmocka_unit_test(long_descriptions_are_stored_in_parts_and_deleted),
         cmocka_unit_test(limits_below_announced_ones_cost_no_leadership),
         cmocka_unit_test(progress_is_written_at_low_write_rate),
+        cmocka_unit_test(machine_marked_by_one_of_two_records_may_hold_tasks),
         cmocka_unit_test(unreadable_records_stay_unchanged)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     choose_test(argc, argv);
--- a/tests/simulation/world.c
+++ b/tests/simulation/world.c
@@ -100,6 +100,7 @@
     sim->write_tokens = size->write_rps;
     sim->change_log = json_array();
     sim->provisioned = json_object();
+    sim->machine_prefix = "vm-";
     for (int i = 0; i < sim->n_nodes; i++) {
         set_up_node(sim, i);
         sim_node_start(sim, i);
