cluster: a machine that was lost holds no earlier leader's task while it is released

What callers saw: after a failover, a machine whose heartbeats arrive but which hears no answer was lost, and when it was released afterwards, jobs from before the failover were kept back again until the cloud had deleted it, for as long as an outage of the cloud lasts.

Cause: a machine in state releasing counted as unreconciled unless it had shown the token, even if its lease had expired in this term before.

Change: once a machine was lost in a term, no earlier leader's start can be on it (docs/safety.md, "Machines lost without a word"); that holds while it is released, too.

--- a/src/cluster/task_evidence.c
+++ b/src/cluster/task_evidence.c
@@ -35,7 +35,10 @@
 bool rp_machine_has_complete_task_list(const struct rp_machine *machine) {
     if (machine->state == RP_MACHINE_UNRECONCILED)
         return false;
-    return machine->state != RP_MACHINE_RELEASING || machine->contact.fencing_token_seen;
+    /* Once the machine was lost, no earlier leader's start can be on it any more. */
+    bool was_lost = !rp_ts_is_zero(machine->lost_since);
+    return machine->state != RP_MACHINE_RELEASING || machine->contact.fencing_token_seen ||
+           was_lost;
 }
 
 bool rp_machine_is_unreconciled(const struct rp_machine *machine, struct timespec now) {
--- a/tests/simulation/test_machines.c
+++ b/tests/simulation/test_machines.c
@@ -54,8 +54,12 @@
     worker->one_way_partition_until = sim->now + 1000;
     sim_crash(sim, sim_leader(sim), 3);
     sim_run(sim, 45);
-    assert_true(rp_cluster_is_reconciled(&sim->nodes[sim_leader(sim)].node->cluster));
-    sim_run(sim, 120);
+    /* The machine is lost by now, and released soon: that must not keep back the work again. */
+    for (int i = 0; i < 1000; i++) {
+        assert_true(rp_cluster_is_reconciled(&sim->nodes[sim_leader(sim)].node->cluster));
+        sim_run(sim, 0.02);
+    }
+    sim_run(sim, 100);
     assert_string_equal(sim->violation, "");
     assert_true(sim_all_terminal(sim));
     sim_free(sim);
