--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -39,6 +39,7 @@
     cluster->fencing_token = token;
     cluster->attempt_base = (token & ((UINT64_C(1) << TOKEN_BITS) - 1)) << COUNT_BITS;
     cluster->attempt_next = 0;
+    cluster->n_failed_direct_starts = 0;
 }
 
 void rp_cluster_free(struct rp_cluster *cluster) {
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -33,6 +33,8 @@
     double *team_cpus, *team_gpus; /* resources of each team's counted allocations */
     uint64_t fencing_token;
     uint64_t attempt_base, attempt_next;
+    unsigned n_failed_direct_starts; /* replicas that were started directly and failed, in the term;
+                                        their workers list them until its end */
     /** Called when a machine's address or incarnation has changed, when the machine's release
      * begins, and when the machine is removed (`terminated`); NULL: no call. */
     void (*on_machine_changed)(void *arg, const struct rp_machine *machine, bool terminated);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -72,6 +72,7 @@
     double run_floor_s;   /* longest time for which one of its tasks has been seen running */
     bool was_interrupted; /* a task was stopped: run times observed afterwards may cover only parts
                              of tasks */
+    unsigned n_direct_starts;         /* of a service: replicas that were started directly */
     unsigned consecutive_early_exits; /* of a service: consecutive replicas that ended by themselves
                                          soon after their start */
     struct rp_job *hash_next;         /* next job in the same bucket of the table */
--- a/src/scheduler/cycle.c
+++ b/src/scheduler/cycle.c
@@ -12,6 +12,7 @@
 #include "scheduler/portfolio.h"
 #include "scheduler/preemption.h"
 #include "scheduler/quota.h"
+#include "scheduler/replica_placement.h"
 #include "scheduler/reservation.h"
 #include "scheduler/service_controller.h"
 #include "scheduler/service_headroom.h"
@@ -83,6 +84,8 @@
                                                         scheduler->cluster->n_unreconciled);
         if (!is_found || !rp_cluster_may_start(scheduler->cluster, job, task, machine))
             return;
+        if (job->spec.kind == RP_JOB_SERVICE && rp_replica_placement_n_startable(job) == 0)
+            return;
         rp_allocation_add(scheduler->cluster, machine, job, task,
                           gang_attempt ? gang_attempt : rp_cluster_next_attempt(scheduler->cluster),
                           RP_ALLOCATION_PLANNED);
--- a/src/scheduler/replica_placement.c
+++ b/src/scheduler/replica_placement.c
@@ -39,6 +39,11 @@
 #define NEXT_HEARTBEAT_PENALTY_S 1.5
 /* Upper bound of the other images, fetched at the same time, that count towards the fetch time. */
 #define FETCHES_COUNTED_MAX 8
+/* Slow start: at most this many replicas of a service, or as many as are running if that is more,
+ * may be starting at a time. If the service cannot run, few are started before that shows. */
+#define REPLICAS_STARTING_MAX 256
+/* The same for a service of which a replica has ended soon after its start. */
+#define STARTING_AFTER_EARLY_EXIT_MAX 8
 
 /* Seconds until the machine holds the job's image. Images fetched at the same time may share the
  * machine's fetch rate. */
@@ -243,6 +248,15 @@
     return excess.cpus > 0 || excess.gpus > 0;
 }
 
+uint32_t rp_replica_placement_n_startable(const struct rp_job *job) {
+    uint32_t n_starting = job->n_allocated > job->n_running ? job->n_allocated - job->n_running : 0;
+    uint32_t n_starting_max =
+        job->consecutive_early_exits > 0 ? STARTING_AFTER_EARLY_EXIT_MAX : REPLICAS_STARTING_MAX;
+    if (n_starting_max < job->n_running)
+        n_starting_max = job->n_running;
+    return n_starting_max > n_starting ? n_starting_max - n_starting : 0;
+}
+
 bool rp_replica_placement_run(struct rp_services *services, struct rp_job *job, unsigned n_max,
                               struct timespec now) {
     bool has_capacity = true;
--- a/src/scheduler/service_controller.c
+++ b/src/scheduler/service_controller.c
@@ -20,12 +20,6 @@
 /* Greatest number of replicas of one service that are placed at a time, so that a service of very
  * many replicas does not delay the others. */
 #define REPLICAS_PER_TURN_MAX 256
-/* The same for a service of which a replica has ended soon after its start. */
-#define REPLICAS_AFTER_EARLY_EXIT_MAX 8
-/* Slow start: at most this many replicas of a service, or as many as are running if that is more,
- * may be starting at a time. If the service cannot run, few are started before that shows. */
-#define REPLICAS_STARTING_MAX 256
-
 static void on_check_timer(void *arg);
 
 void rp_service_controller_init(struct rp_services *services, struct rp_loop *loop,
@@ -95,20 +89,12 @@
            rp_cluster_is_job_reconciled(services->cluster, job);
 }
 
-/* How many replicas of the service may be placed now. */
-static uint32_t n_placeable(const struct rp_job *job) {
-    uint32_t n_starting = job->n_allocated > job->n_running ? job->n_allocated - job->n_running : 0;
-    uint32_t n_starting_max =
-        job->n_running > REPLICAS_STARTING_MAX ? job->n_running : REPLICAS_STARTING_MAX;
-    uint32_t n_max =
-        job->consecutive_early_exits > 0 ? REPLICAS_AFTER_EARLY_EXIT_MAX : REPLICAS_PER_TURN_MAX;
-    uint32_t n_more = n_starting_max > n_starting ? n_starting_max - n_starting : 0;
-    return n_more < n_max ? n_more : n_max;
-}
-
 static void place_replicas_of(struct rp_services *services, struct rp_job *job,
                               struct timespec now) {
-    uint32_t n_max = may_place_replicas(services, job, now) ? n_placeable(job) : 0;
+    uint32_t n_max =
+        may_place_replicas(services, job, now) ? rp_replica_placement_n_startable(job) : 0;
+    if (n_max > REPLICAS_PER_TURN_MAX)
+        n_max = REPLICAS_PER_TURN_MAX;
     if (n_max == 0)
         return;
     bool has_capacity = rp_replica_placement_run(services, job, n_max, now);
--- a/src/worker/command_batch.c
+++ b/src/worker/command_batch.c
@@ -4,10 +4,16 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/string_copy.h"
+#include "cluster/quarantine.h"
+#include "worker/task_exit.h"
 
 /* The maximum number of commands in one message. At about 90 bytes for each, the message remains
  * below the 64 KiB that a line of an answer may have (PROTOCOL). */
 #define COMMANDS_MAX 400
+/* Direct starts of a service of which no replica has run for RP_EARLY_EXIT_S yet. */
+#define UNPROVEN_DIRECT_STARTS_MAX 16
+/* Failed direct starts of a term from which on no such service is started directly. */
+#define FAILED_DIRECT_STARTS_MAX 100
 
 void rp_command_batch_init(struct rp_command_batch *batch) {
     batch->commands = rp_alloc(COMMANDS_MAX, sizeof *batch->commands);
@@ -134,12 +140,19 @@
 
 /* ---- starts ---- */
 
+/* Whether the job is a service that fails everywhere and waits for its next attempt. */
+static bool is_failing_service(const struct rp_worker_context *context, const struct rp_job *job) {
+    return job->spec.kind == RP_JOB_SERVICE && rp_quarantine_is_job_suspected(job) &&
+           !rp_ts_is_reached(rp_loop_now(context->loop), job->start_backoff_until);
+}
+
 /* Whether the start is still allowed: the conditions under which it was planned may have changed
  * since. */
 static bool may_still_start(const struct rp_worker_context *context,
                             const struct rp_machine *machine,
                             const struct rp_allocation *allocation) {
     return allocation->job->state == RP_JOB_OPEN && rp_machine_is_usable(machine) &&
+           !is_failing_service(context, allocation->job) &&
            rp_cluster_is_job_reconciled(context->cluster, allocation->job) &&
            rp_jobs_may_start_tasks(context->jobs);
 }
@@ -167,6 +180,18 @@
     }
 }
 
+/* Whether a replica of the service may be started directly. Attempts that end at once would fill
+ * the workers' lists: until a replica has run for long, only the first few are started directly,
+ * and none if the service fails everywhere, or many replicas have failed in this term. */
+static bool may_start_replica_directly(const struct rp_worker_context *context,
+                                       const struct rp_job *job) {
+    if (job->run_floor_s > RP_EARLY_EXIT_S)
+        return true;
+    return !rp_quarantine_is_job_suspected(job) &&
+           job->n_direct_starts < UNPROVEN_DIRECT_STARTS_MAX &&
+           context->cluster->n_failed_direct_starts < FAILED_DIRECT_STARTS_MAX;
+}
+
 /* Workers must keep attempts that were started directly in their lists for the rest of the term.
  * Direct starts are therefore limited to replicas of services and, within bounds, to tasks that a
  * failover would delay. */
@@ -174,18 +199,20 @@
                                const struct rp_machine *machine, const struct rp_job *job) {
     bool is_delayed_by_failover =
         job->spec.kind == RP_JOB_ARRAY && machine->contact.fenced_without_heartbeat;
-    return job->spec.kind == RP_JOB_SERVICE ||
+    return (job->spec.kind == RP_JOB_SERVICE && may_start_replica_directly(context, job)) ||
            (is_delayed_by_failover && context->n_direct_array_starts_left > 0);
 }
 
 static void record_start_sent(struct rp_worker_context *context, struct rp_machine *machine,
                               struct rp_allocation *allocation, bool directly) {
-    const struct rp_job *job = allocation->job;
+    struct rp_job *job = allocation->job;
     rp_allocation_set_state(context->cluster, machine, allocation, RP_ALLOCATION_SENT);
     allocation->sent_seq = machine->contact.heartbeat_seq;
     allocation->started_directly = allocation->direct_start_pending = directly;
     if (directly && job->spec.kind == RP_JOB_ARRAY)
         context->n_direct_array_starts_left--;
+    else if (directly)
+        job->n_direct_starts++;
     context->counters.n_starts++;
     rp_metrics_add(context->metrics, RP_METRIC_START,
                    rp_job_age_s(job, rp_loop_now(context->loop)));
--- a/src/worker/task_exit.c
+++ b/src/worker/task_exit.c
@@ -4,8 +4,6 @@
 #include "base/log.h"
 #include "cluster/quarantine.h"
 
-/* Seconds of run time up to which the exit of a replica counts as a failure at its start. */
-#define EARLY_EXIT_S 30.0
 /* Seconds before a job's replicas are started again. The backoff doubles with each early exit, up
  * to REPLICA_BACKOFF_MAX_S. At most REPLICA_BACKOFF_EXITS_MAX exits are counted: from the eighth on
  * the product is above the maximum. */
@@ -21,7 +19,7 @@
 
 static bool is_early_exit(const struct rp_allocation *allocation, struct timespec now) {
     return rp_ts_is_zero(allocation->running_since) ||
-           rp_ts_since(now, allocation->running_since) <= EARLY_EXIT_S;
+           rp_ts_since(now, allocation->running_since) <= RP_EARLY_EXIT_S;
 }
 
 static bool has_exited_unrequested(const struct rp_allocation *allocation) {
@@ -43,6 +41,7 @@
         job->consecutive_early_exits = job->n_failed_machines = 0;
         return;
     }
+    context->cluster->n_failed_direct_starts += allocation->started_directly;
     bool is_first_machine = job->n_failed_machines == 0;
     bool is_backing_off = !rp_ts_is_reached(now, job->start_backoff_until);
     if (!rp_quarantine_record_job_failure(job, machine) && is_backing_off)
--- a/src/worker/task_exit.h
+++ b/src/worker/task_exit.h
@@ -6,6 +6,9 @@
 
 #include "worker/worker_context.h"
 
+/** Seconds of run time up to which the exit of a replica counts as a failure at its start. */
+#define RP_EARLY_EXIT_S 30.0
+
 /** Applies the exit of the allocation's task. The allocation must just have become
  * RP_ALLOCATION_EXITED, with its exit reason set. */
 void rp_task_exit_apply(struct rp_worker_context *context, struct rp_machine *machine,
