--- a/src/api/status.c
+++ b/src/api/status.c
@@ -57,6 +57,7 @@
                                        {"refused", sources->fleet->provisioning.refusals.n_refused},
                                        {"returned", sources->fleet->release.n_released},
                                        {"accepted", sources->api->n_accepted},
+                                       {"undetermined", sources->api->n_undetermined},
                                        {"stale_reports", worker_counters->n_stale_heartbeats},
                                        {"over_bounds", n_over_bounds(sources)}};
     set_counters(object, counters, N_OF(counters));
--- a/src/api/user_api.c
+++ b/src/api/user_api.c
@@ -18,6 +18,11 @@
 /* Seconds in the `Retry-After` header of a response to a request that cannot be answered now. */
 #define RETRY_AFTER_S 1
 #define NO_RETRY_AFTER 0
+/* Seconds for which a request waits for its job's activity. A user waits 2 s for a response
+ * (PROTOCOL). */
+#define ACTIVITY_WAIT_MAX_S 1.5
+/* Seconds between two reads of the activity for a request that waits. */
+#define ACTIVITY_PERIOD_S 0.1
 
 enum request_kind { REQUEST_SUBMIT, REQUEST_QUERY, REQUEST_CANCEL };
 
@@ -27,6 +32,7 @@
     REQUEST_READING_TERMINAL, /* has the job ended? */
     REQUEST_READING_FORMAT,   /* do all nodes support services by now? */
     REQUEST_WRITING, /* the transaction of the submission or the cancellation is in flight */
+    REQUEST_AWAITING_ACTIVITY, /* the job is open; is a task running? */
     REQUEST_ANSWERED
 };
 
@@ -45,10 +51,23 @@
     size_t value_max_bytes; /* lowered after the store has refused a larger value; 0: the limit of
                                the settings */
     struct timespec received_at;
+    struct rp_timer activity_timer; /* set while the request awaits the job's activity */
 };
 
 static void set_state(struct user_request *request, enum request_state state);
 
+/* The state in which it is found out whether the job is open. */
+static enum request_state state_of_lookup(const struct user_request *request) {
+    bool should_batch =
+        request->kind == REQUEST_QUERY && rp_job_lookup_should_batch(request->api->job_lookup);
+    return should_batch ? REQUEST_LOOKING_UP : REQUEST_READING_OPEN;
+}
+
+static bool has_time_to_wait(const struct user_request *request) {
+    struct timespec now = rp_loop_now(request->api->loop);
+    return rp_ts_since(now, request->received_at) < ACTIVITY_WAIT_MAX_S;
+}
+
 /* ---- responses, each of which ends the request ---- */
 
 /* Responds with `body`, which is freed, and frees the request. */
@@ -88,11 +107,41 @@
                           enum rp_job_phase phase) {
     struct rp_job_status job = {.phase = phase};
     rp_string_copy(job.id, sizeof job.id, request->id);
-    if (phase == RP_JOB_QUEUED && status == RP_RESPONSE_OK)
-        request->api->fill_running_counts(request->api->arg, &job);
     respond(request, status, rp_user_codec_write_job_status(&job), NO_RETRY_AFTER);
 }
 
+/* Responds to a request about an open job with its phase. While that is undetermined, the request
+ * waits for as long as its user does; then the user is told nothing rather than a guess. */
+static void respond_open_job(struct user_request *request) {
+    struct rp_user_api *api = request->api;
+    struct rp_job_status job = {0};
+    rp_string_copy(job.id, sizeof job.id, request->id);
+    api->read_activity(api->arg, &job);
+    if (job.phase != RP_JOB_UNDETERMINED) {
+        respond(request, RP_RESPONSE_OK, rp_user_codec_write_job_status(&job), NO_RETRY_AFTER);
+    } else if (has_time_to_wait(request)) {
+        set_state(request, REQUEST_AWAITING_ACTIVITY);
+    } else {
+        api->n_undetermined++;
+        respond_unavailable(request);
+    }
+}
+
+/* Reads the job again once its activity is determined, since it may have ended meanwhile. */
+static void on_activity_timer(void *arg) {
+    struct user_request *request = arg;
+    struct rp_user_api *api = request->api;
+    struct rp_job_status job = {0};
+    rp_string_copy(job.id, sizeof job.id, request->id);
+    api->read_activity(api->arg, &job);
+    if (job.phase != RP_JOB_UNDETERMINED)
+        set_state(request, state_of_lookup(request));
+    else if (has_time_to_wait(request))
+        rp_timer_set(api->loop, &request->activity_timer, ACTIVITY_PERIOD_S);
+    else
+        respond_open_job(request);
+}
+
 /* Responds with the terminal state that was read from the store or written to it. A terminal state
  * never changes: this node caches it, and answers later requests without the store. */
 static void respond_terminal_state(struct user_request *request, enum rp_job_phase phase) {
@@ -145,7 +194,7 @@
     struct user_request *request = arg;
     switch (result) {
     case RP_LOOKUP_OPEN:
-        respond_phase(request, RP_RESPONSE_OK, RP_JOB_QUEUED);
+        respond_open_job(request);
         break;
     case RP_LOOKUP_NOT_OPEN:
         request->is_absence_from_lookup = true;
@@ -167,7 +216,7 @@
         if (request->kind == REQUEST_CANCEL)
             set_state(request, REQUEST_WRITING);
         else
-            respond_phase(request, RP_RESPONSE_OK, RP_JOB_QUEUED);
+            respond_open_job(request);
     } else {
         respond_unavailable(request);
     }
@@ -303,6 +352,10 @@
  *   already is answered with its state;
  * - writing -> writing: the store refused the size, and the record is written in smaller pieces;
  * - writing -> reading open: a conflict, or no response, or the submission cannot be stored;
+ * - looking up, reading open -> awaiting activity: the job is open, and whether a task is running
+ * is undetermined;
+ * - awaiting activity -> looking up or reading open: it is determined now, and the job is read
+ * again;
  * - any -> answered: the response has been sent, and the request is freed. */
 static void set_state(struct user_request *request, enum request_state state) {
     char key[RP_KEY_MAX];
@@ -328,6 +381,10 @@
         else
             write_cancellation(request);
         break;
+    case REQUEST_AWAITING_ACTIVITY:
+        request->activity_timer = (struct rp_timer){.fn = on_activity_timer, .arg = request};
+        rp_timer_set(request->api->loop, &request->activity_timer, ACTIVITY_PERIOD_S);
+        break;
     case REQUEST_ANSWERED:
         break;
     }
@@ -385,8 +442,7 @@
     struct user_request *request = request_new(api, req, REQUEST_QUERY, id);
     if (respond_cached_terminal_state(request))
         return;
-    set_state(request, rp_job_lookup_should_batch(api->job_lookup) ? REQUEST_LOOKING_UP
-                                                                   : REQUEST_READING_OPEN);
+    set_state(request, state_of_lookup(request));
 }
 
 void rp_user_api_cancel(struct rp_user_api *api, struct rp_request *req, const char *id) {
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -27,10 +27,12 @@
     struct rp_job_lookup *job_lookup;
     struct rp_terminal_states *terminal_states;
     struct rp_metrics *metrics;
-    /** Fills in the counts of an open job's tasks, as far as this node has them, for display. */
-    void (*fill_running_counts)(void *arg, struct rp_job_status *status);
+    /** Fills in the phase of an open job and the counts of its tasks. RP_JOB_UNDETERMINED: this
+     * node has no proof whether a task is running, and the caller asks again a little later. */
+    void (*read_activity)(void *arg, struct rp_job_status *status);
     void *arg;
-    unsigned long n_accepted; /* submissions that this node has written to the store */
+    unsigned long n_accepted;     /* submissions that this node has written to the store */
+    unsigned long n_undetermined; /* requests refused because the job's phase was undetermined */
 };
 
 /** Submits the job in the request's body. Answers `req` exactly once, now or later: 201 once the
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -33,6 +33,13 @@
     return now;
 }
 
+struct timespec rp_loop_wall_now(const struct rp_loop *loop) {
+    struct timespec now = rp_ts_add(loop->virtual_now, loop->virtual_wall_offset);
+    if (!loop->is_virtual)
+        clock_gettime(CLOCK_REALTIME, &now);
+    return now;
+}
+
 static void heap_put(struct rp_loop *loop, size_t index, struct rp_timer *timer) {
     loop->timers[index - 1] = timer;
     timer->heap_index = index;
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -44,6 +44,7 @@
     bool is_virtual;
     bool is_stopping;
     struct timespec virtual_now;
+    struct timespec virtual_wall_offset; /**< time of day less `virtual_now`, in virtual mode */
     struct rp_timer **timers; /**< binary heap with the timer that is due first at its root */
     size_t n_timers, timer_capacity;
     struct epoll_event events[RP_LOOP_BATCH]; /**< events that the last epoll_wait returned */
@@ -60,6 +61,9 @@
  * and never cached, since fencing depends on the current time. */
 struct timespec rp_loop_now(const struct rp_loop *loop);
 
+/** The time of day (CLOCK_REALTIME). It may jump; the platform's settings bound its error. */
+struct timespec rp_loop_wall_now(const struct rp_loop *loop);
+
 /** Sets the timer to be due in `after_s` seconds. Its call-back never runs before the next
  * iteration of the loop. A timer that is already set is rescheduled. Returns 0 or -ENOMEM. */
 int rp_timer_set(struct rp_loop *loop, struct rp_timer *timer, double after_s);
--- a/src/cluster/allocation.c
+++ b/src/cluster/allocation.c
@@ -22,9 +22,12 @@
         job->first_startable_task = allocation->task;
 }
 
-static void uncount_running(const struct rp_allocation *allocation) {
-    if (allocation->state == RP_ALLOCATION_SEEN && allocation->task_state == RP_TASK_RUNNING)
-        allocation->job->n_running--;
+static void uncount_running(const struct rp_cluster *cluster,
+                            const struct rp_allocation *allocation) {
+    if (allocation->state != RP_ALLOCATION_SEEN || allocation->task_state != RP_TASK_RUNNING)
+        return;
+    allocation->job->n_running--;
+    allocation->job->stopped_running_at = rp_loop_now(cluster->loop);
 }
 
 struct rp_allocation *rp_allocation_add(struct rp_cluster *cluster, struct rp_machine *machine,
@@ -66,7 +69,7 @@
     if (allocation->state == state)
         return;
     bool was_counted = rp_allocation_is_counted(allocation);
-    uncount_running(allocation);
+    uncount_running(cluster, allocation);
     if (was_counted && state == RP_ALLOCATION_EXITED)
         count_allocation(cluster, machine, allocation, -1);
     allocation->state = state;
@@ -75,7 +78,7 @@
 void rp_allocation_remove(struct rp_cluster *cluster, struct rp_machine *machine, size_t index) {
     struct rp_allocation *allocation = &machine->allocations[index];
     struct rp_job *job = allocation->job;
-    uncount_running(allocation);
+    uncount_running(cluster, allocation);
     if (rp_allocation_is_counted(allocation))
         count_allocation(cluster, machine, allocation, -1);
     job->n_allocations--;
--- a/src/cluster/machine.h
+++ b/src/cluster/machine.h
@@ -100,6 +100,8 @@
                                       and no heartbeat has arrived since */
     struct timespec last_heartbeat_at;
     struct timespec last_message_at; /* when the newest message of any kind arrived */
+    /* When the newest message had been read that lists the tasks as they were on its arrival. */
+    struct timespec described_at;
     struct timespec lease_expiry; /* no task runs on the machine after this instant unless a later
                                      heartbeat is answered */
     /* Times of this leader's answers to heartbeats. */
--- a/src/config/platform_file.c
+++ b/src/config/platform_file.c
@@ -12,6 +12,8 @@
 #define ELEMENT_PATH_BYTES 64
 /* Bytes of an error's text, such as "must be between 0.001 and 1e+06, but is 0", with its NUL. */
 #define ERROR_TEXT_BYTES 96
+/* Maximum error of the time of day, in seconds, of a platform that does not name it. */
+#define CLOCK_SKEW_DEFAULT_S 0.025
 
 struct platform_reader {
     const char *file;
@@ -268,6 +270,9 @@
     read_state(reader, state, settings);
     settings->cloud_rps = read_number(reader, cloud, "rps", 0.01, 1e6);
     settings->list_lag_s = read_number(reader, cloud, "list_lag_s", 0, 3600);
+    settings->clock_skew_s = json_is_number(json_object_get(params.object, "skew_ms"))
+                                 ? read_number(reader, params, "skew_ms", 0, 1e6) / 1000
+                                 : CLOCK_SKEW_DEFAULT_S;
     settings->cpu_share = read_number(reader, limits, "cpu_share", 0.001, 1e6);
     settings->memory_mb = read_number(reader, limits, "mem_mb", 8, 1e9);
     settings->max_connections = (size_t)read_number(reader, limits, "max_connections", 32, 1e9);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -82,6 +82,7 @@
     struct rp_kv_limits kv_limits_lowest;  /**< each limit's lower value, current or future */
     double cloud_rps;                      /**< requests per second that the cloud accepts */
     double list_lag_s;      /**< maximum delay of changes in the cloud's list of machines */
+    double clock_skew_s;    /**< maximum error of a node's time of day */
     double memory_mb;       /**< memory that the node may use */
     double cpu_share;       /**< share of a processor that the node may use */
     size_t max_connections; /**< maximum number of the node's open connections */
--- a/src/controller/node_requests.c
+++ b/src/controller/node_requests.c
@@ -68,6 +68,13 @@
     return rp_status_json(&sources);
 }
 
+static void answer_activity_poll(struct rp_node *node, struct rp_request *req, const char *query) {
+    if (rp_activity_report_may_report(&node->activity_report))
+        respond_json(req, rp_activity_report_answer(&node->activity_report, query));
+    else
+        refuse(req, RP_RESPONSE_UNAVAILABLE, "not the leader");
+}
+
 static void answer_health_check(const struct rp_node *node, struct rp_request *req) {
     req->respond(req, RP_RESPONSE_OK,
                  rp_peer_health_is_store_answering(&node->peer_health)
@@ -79,11 +86,10 @@
 void rp_node_peer_request(void *arg, struct rp_request *req) {
     struct rp_node *node = arg;
     const char *target = req->target;
-    bool is_leading = node->state == RP_NODE_LEADING;
     if (!is_get(req))
         refuse_path(req);
-    else if (strcmp(target, RP_PATH_RUNNING_COUNTS) == 0 && is_leading)
-        respond_json(req, rp_running_counts_json(&node->running_counts));
+    else if (has_prefix(target, RP_PATH_ACTIVITY))
+        answer_activity_poll(node, req, target + strlen(RP_PATH_ACTIVITY));
     else if (has_prefix(target, RP_PATH_STREAM))
         respond_json(req, rp_standby_answer(&node->standby, target));
     else if (strcmp(target, RP_PATH_IMAGES) == 0)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -28,6 +28,17 @@
 /** Number of tasks whose allocations are counted in one block of memory. */
 #define RP_JOB_COUNT_BLOCK 1024
 
+/** What the machines' messages showed of the job's tasks at the newest survey
+ * (cluster/job_activity.h). An instant of zero: never, or none. */
+struct rp_job_activity {
+    struct timespec surveyed_at;
+    struct timespec running_as_of; /* newest message that lists a running task */
+    struct timespec idle_as_of;    /* oldest message of a machine with a started task that does not
+                                      run; the survey's instant if there is no such task */
+    uint32_t n_running;
+    bool has_unknown; /* a task may be on a machine whose messages do not describe it */
+};
+
 /** A job. Members without a comment are counts or flags that their names explain. */
 struct rp_job {
     struct rp_job_spec spec;
@@ -40,7 +51,9 @@
     double age_at_first_seen_s;
     int team; /* index of the job's team in the settings */
     uint32_t n_done, n_running;
-    uint32_t n_allocated;   /* allocations whose task may be on a machine */
+    struct rp_job_activity activity;
+    struct timespec stopped_running_at; /* when a task was last found to have stopped running */
+    uint32_t n_allocated;               /* allocations whose task may be on a machine */
     uint32_t n_allocations; /* allocations, also of ended tasks that workers still list */
     uint32_t n_refs; /* references of allocations, and one held while the job is being closed */
     /* For each task, the number of allocations in which the task may be, in blocks of
--- a/src/worker/heartbeat_reader.c
+++ b/src/worker/heartbeat_reader.c
@@ -117,6 +117,13 @@
                                       heartbeat->fencing_token == context->election->fencing_token);
 }
 
+/* Whether the heartbeat may have been held up on its way: a worker sends the next one in time, and
+ * the one before arrived longer ago than that. Its list may then be as old as the silence. */
+static bool may_be_late(const struct rp_worker_context *context, const struct rp_machine *machine) {
+    double interval_s = rp_ts_since(rp_loop_now(context->loop), machine->contact.last_message_at);
+    return interval_s > context->settings->report_s * HEARTBEAT_INTERVAL_FACTOR + HEARTBEAT_DELAY_S;
+}
+
 void rp_heartbeat_read(struct rp_worker_context *context, struct rp_machine *machine,
                        const struct rp_heartbeat *heartbeat) {
     detect_one_way_partition(context, machine, heartbeat);
@@ -125,6 +132,7 @@
         rp_machine_end_incarnation(context->cluster, machine);
     bool is_overtaken = heartbeat->incarnation == machine->contact.incarnation &&
                         heartbeat->seq < machine->contact.seq;
+    bool is_new_description = !is_overtaken && !may_be_late(context, machine);
     record_heartbeat(context, machine, heartbeat);
     for (size_t i = 0; i < machine->n_allocations; i++)
         machine->allocations[i].listed = false;
@@ -133,6 +141,8 @@
     else
         read_tasks(context, machine, heartbeat);
     remove_missing(context, machine, heartbeat->seq);
+    if (is_new_description)
+        machine->contact.described_at = rp_loop_now(context->loop);
     if (heartbeat->has_notice)
         rp_spot_notice_apply(context, machine, heartbeat->notice_s);
     /* Only a heartbeat that shows this leader's fencing token proves that no start of an earlier
@@ -154,6 +164,7 @@
     for (size_t i = 0; i < heartbeat->n_tasks; i++)
         if (rp_task_reader_find_allocation(context, machine, &heartbeat->tasks[i]))
             rp_task_reader_read(context, machine, &heartbeat->tasks[i]);
+    machine->contact.described_at = rp_loop_now(context->loop);
 }
 
 void rp_heartbeat_read_results(struct rp_worker_context *context, const struct rp_machine *machine,
--- a/src/worker/task_reader.c
+++ b/src/worker/task_reader.c
@@ -71,6 +71,7 @@
                  rp_ts_since(allocation->running_since, allocation->planned_at));
     } else if (state != RP_TASK_RUNNING && was_running) {
         job->n_running--;
+        job->stopped_running_at = rp_loop_now(context->loop);
     }
     if (state != RP_TASK_FETCHING && allocation->task_state == RP_TASK_FETCHING)
         rp_machine_record_image(context->cluster, machine, job->image_hash, job->spec.image_gb);
--- a/tests/simulation/network.c
+++ b/tests/simulation/network.c
@@ -93,6 +93,8 @@
         event->heartbeat_number = call->heartbeat_number;
         event->user_op = call->user_op;
         event->sent_at = request->sent_at;
+        event->node = request->node;
+        event->is_beside_old_node = sim_has_node_of_old_sources(sim);
         if (sim_chance(sim, sim->faults.drop))
             event->due_at += is_to_worker ? SIM_NEVER : 0;
     }
@@ -178,6 +180,10 @@
     return strncmp(target, "/follow", strlen("/follow")) == 0;
 }
 
+static bool is_for_peer(const struct sim_event *event) {
+    return strncmp(event->addr, "peer", strlen("peer")) == 0;
+}
+
 static struct sim_event *request_event(struct sim *sim, int node,
                                        const struct sim_outgoing *outgoing) {
     struct sim_event *event = sim_event_new(sim, EV_REQUEST, sim_network_delay(sim));
@@ -221,6 +227,8 @@
     if (!event->unsent && sim_chance(sim, sim->faults.duplicate) &&
         strcmp(outgoing->method, "GET") != 0 && strcmp(target, "/leases") != 0)
         sim_request_duplicate(sim, event, 0.05 + 30 * sim_uniform(sim));
+    if (is_for_peer(event))
+        event->due_at += sim->peer_delay_s;
     if (strcmp(outgoing->addr, "state") == 0 && !watch && sim_chance(sim, sim->faults.slow_store))
         event->due_at += 0.2 + 1.2 * sim_uniform(sim);
     /* A dropped request is due at its time-out: its caller gets no response, and it is not executed
@@ -311,10 +319,6 @@
     request->body = body ? rp_json_parse(body, strlen(body)) : NULL;
 }
 
-static bool is_for_peer(const struct sim_event *event) {
-    return strncmp(event->addr, "peer", strlen("peer")) == 0;
-}
-
 static int peer_index(const struct sim_event *event) {
     return event->addr[strlen("peer")] - '0';
 }
--- a/tests/simulation/nodes.c
+++ b/tests/simulation/nodes.c
@@ -5,8 +5,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Time of day in seconds at which the simulation begins, and the error of a node's time of day:
+ * that of the settings' default, in either direction. */
+#define WALL_EPOCH_S 1790000000.0
+#define CLOCK_SKEW_S 0.025
+
 const struct sim_engine *sim_old_engine;
 
+static void advance(struct sim *sim, int index, double now) {
+    struct rp_loop *loop = &sim->nodes[index].loop;
+    double wall_now = WALL_EPOCH_S + sim->now + (index % 3 - 1) * CLOCK_SKEW_S;
+    loop->virtual_wall_offset = rp_ts_sub(rp_ts(wall_now), rp_ts(now));
+    rp_loop_advance(loop, rp_ts(now));
+}
+
 void sim_node_start(struct sim *sim, int index) {
     struct sim_node *node = &sim->nodes[index];
     if (sim->remote)
@@ -91,5 +103,5 @@
     if (node->old_node)
         sim_old_engine->advance(node->old_node, now);
     else
-        rp_loop_advance(&node->loop, rp_ts(now));
+        advance(sim, index, now);
 }
--- a/tests/simulation/rules.c
+++ b/tests/simulation/rules.c
@@ -13,6 +13,9 @@
 #define REPLICA_CHECK_STEPS 5  /* steps between two checks of the services' replicas */
 #define WAITING_CHECK_STEPS 25 /* steps between two checks of the waiting jobs */
 
+/* Seconds by which the state of a job may lag (PROTOCOL). */
+#define STATE_LAG_S 3.0
+
 /* The following bounds are in seconds and apply once the faults have ended. */
 
 /* Longest time without a response that contains a job's state; beyond it, the job is lost. */
@@ -110,6 +113,55 @@
             sim_record_violation(sim, "not_done: %s/%u", job->spec.id, i);
 }
 
+bool sim_has_node_of_old_sources(const struct sim *sim) {
+    for (int i = 0; i < sim->n_nodes; i++)
+        if (sim->nodes[i].old_node)
+            return true;
+    return false;
+}
+
+/* Called with each answer that contains a job's phase. state: a user reads that no task runs,
+ * although one has run all the time since STATE_LAG_S before the request, or that one runs,
+ * although none has. Nodes built from the sources of the previous version break this rule, and what
+ * they tell the others makes those break it. */
+void sim_check_activity(struct sim *sim, const struct sim_event *answer, const char *phase) {
+    const struct sim_job *job = &sim->jobs[answer->index];
+    double since = answer->sent_at - STATE_LAG_S - SIM_STEP_S;
+    /* The planted defect that hides the end of gangs must violate not_served instead. */
+    if (answer->is_beside_old_node || sim->breakage == SIM_GANG_ENDS_ARE_HIDDEN)
+        return;
+    if (strcmp(phase, "pending") == 0 && job->last_idle_at < since)
+        sim_record_violation(sim, "state: %s is pending, a task has run since %.2f", job->spec.id,
+                             job->last_idle_at);
+    if (strcmp(phase, "running") == 0 && job->last_running_at < since)
+        sim_record_violation(sim, "state: %s is running, no task has run since %.2f", job->spec.id,
+                             job->last_running_at);
+}
+
+/* Notes for each job whether a task of it runs. A task that saves, and one on a machine that hangs,
+ * may be called running or not. */
+static void observe_activity(struct sim *sim) {
+    bool is_running[SIM_JOBS] = {false};
+    bool is_either[SIM_JOBS] = {false};
+    for (int i = 0; i < sim->size.n_workers; i++) {
+        const struct sim_worker *worker = &sim->workers[i];
+        bool is_paused = sim->now < worker->paused_until;
+        for (int k = 0; is_rented(worker) && k < worker->n_tasks; k++) {
+            const struct sim_task *task = &worker->tasks[k];
+            bool is_listed_running = task->state == RP_TASK_RUNNING;
+            is_running[task->job_index] |= is_listed_running && !is_paused;
+            is_either[task->job_index] |=
+                task->state == RP_TASK_SAVING || (is_listed_running && is_paused);
+        }
+    }
+    for (int i = 0; i < sim->n_jobs; i++) {
+        if (is_running[i] || is_either[i])
+            sim->jobs[i].last_running_at = sim->now;
+        if (!is_running[i])
+            sim->jobs[i].last_idle_at = sim->now;
+    }
+}
+
 /* ran_cancelled: a placed task's job was confirmed as cancelled more than cancel_s seconds ago. */
 static void check_cancelled(struct sim *sim) {
     for (int i = 0; i < sim->size.n_workers; i++) {
@@ -359,6 +411,7 @@
 }
 
 void sim_check_step(struct sim *sim) {
+    observe_activity(sim);
     check_cancelled(sim);
     check_accepted_jobs(sim);
     if (sim->steps % REPLICA_CHECK_STEPS == 0)
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -104,7 +104,9 @@
     SIM_LIMIT_IS_LOWER,         /* teams' limits are lower than those in the nodes' settings */
     SIM_MACHINES_IN_WRONG_ZONE, /* machines are in another zone than the cloud reports */
     SIM_UNKNOWN_IS_FOUND,       /* a poll of a job that no user submitted gets 200 */
-    SIM_STARTS_ARE_DROPPED      /* no start of the second job's tasks is executed */
+    SIM_STARTS_ARE_DROPPED,     /* no start of the second job's tasks is executed */
+    SIM_RUNNING_IS_PENDING,     /* users read "pending" while tasks run */
+    SIM_PENDING_IS_RUNNING      /* users read "running" while no task runs */
 };
 
 /* The implementation of nodes of the previous version: the one that was built from its sources
@@ -201,7 +203,8 @@
     struct rp_job_spec spec;
     char *body;
     bool accepted, reported_done, reported_cancelled, cancel_requested, has_started;
-    double answered_at; /* when a response last contained the job's state */
+    double answered_at;                   /* when a response last contained the job's state */
+    double last_running_at, last_idle_at; /* when a task of the job last ran, and when none did */
     double cancelled_at, terminal_reported_at, accepted_at, next_poll_at, submit_at, cancel_at;
     bool *done; /* for each task; this and the arrays below have SIM_JOB_TASKS elements */
     bool fails_always;
@@ -288,7 +291,9 @@
     int node_in_partition;       /* 1 + the node that is partitioned with that zone, 0: none */
     int node_without_heartbeats; /* 1 + the node that no heartbeat reaches, 0: none */
     double peer_partition_until; /* until then no node can connect to another */
+    double peer_delay_s;         /* requests between nodes take that much longer */
     bool has_eager_users;        /* users poll twenty times as often as usual */
+    bool has_polls_at_all_nodes; /* users poll every second, at all nodes */
     bool has_concurrent_reads;   /* users poll all nodes after each change of a job's state */
     uint64_t last_fencing_token;
     json_t *provisioned; /* request name -> response */
@@ -311,6 +316,8 @@
     unsigned long n_state_reads, n_state_lists, n_rows_read, n_polls;
     unsigned long n_comparisons;    /* transactions without changes */
     unsigned long n_polls_answered; /* polls whose responses contained the job's state */
+    /* The same, and all polls, for each node. */
+    unsigned long n_polls_at[SIM_NODES_MAX], n_polls_answered_at[SIM_NODES_MAX];
     double idle_s; /* from a task's exit to the next start on its machine, summed up */
     unsigned long n_idle_periods;
 };
--- a/tests/simulation/test_random_faults.c
+++ b/tests/simulation/test_random_faults.c
@@ -209,6 +209,8 @@
     assert_violation_is_found(SIM_MACHINES_IN_WRONG_ZONE, &no_faults, "wrong_place");
     assert_violation_is_found(SIM_STARTS_ARE_DROPPED, &no_faults, "left_waiting");
     assert_violation_is_found(SIM_RENEWED_WITHOUT_STOPS, &no_faults, "kept_cancelled");
+    assert_violation_is_found(SIM_RUNNING_IS_PENDING, &no_faults, "state");
+    assert_violation_is_found(SIM_PENDING_IS_RUNNING, &no_faults, "state");
 }
 
 int main(int argc, char **argv) {
--- a/tests/simulation/users.c
+++ b/tests/simulation/users.c
@@ -41,6 +41,10 @@
         phase = "running";
     if (sim->breakage == SIM_ANSWERS_ARE_STALE && job->reported_done)
         phase = "pending";
+    if (sim->breakage == SIM_RUNNING_IS_PENDING && phase && strcmp(phase, "running") == 0)
+        phase = "pending";
+    if (sim->breakage == SIM_PENDING_IS_RUNNING && phase && strcmp(phase, "pending") == 0)
+        phase = "running";
     return phase;
 }
 
@@ -96,6 +100,7 @@
     const char *phase = phase_seen_by_user(sim, job, body);
     if (phase) {
         sim->n_polls_answered += event->user_op == USER_POLLS;
+        sim->n_polls_answered_at[event->node] += event->user_op == USER_POLLS;
         job->answered_at = sim->now;
         record_acceptance(sim, event->index);
         if (strcmp(phase, "done") == 0)
@@ -106,10 +111,27 @@
                  event->sent_at > job->terminal_reported_at)
             /* Responses may overtake one another: only requests sent after the report count. */
             sim_record_violation(sim, "went_back: %s is %s", job->spec.id, phase);
+        sim_check_activity(sim, event, phase);
     }
     json_decref(body);
 }
 
+static void poll_node(struct sim *sim, int job, int node) {
+    sim->n_polls++;
+    sim->n_polls_at[node]++;
+    sim_send_for_user(sim, job, USER_POLLS, node);
+}
+
+static void poll(struct sim *sim, int job) {
+    if (!sim->has_polls_at_all_nodes) {
+        poll_node(sim, job, (int)gsl_rng_uniform_int(sim->rng, (unsigned long)sim->n_nodes));
+        return;
+    }
+    for (int node = 0; node < sim->n_nodes; node++)
+        poll_node(sim, job, node);
+    sim->jobs[job].next_poll_at = sim->now + 1;
+}
+
 void sim_user_step(struct sim *sim, int index) {
     struct sim_job *job = &sim->jobs[index];
     if (sim->now < job->submit_at)
@@ -133,8 +155,7 @@
         bool polls_rarely = is_terminal && sim->n_jobs > 128;
         double interval_s = (polls_rarely ? 20 : 2) + 3 * sim_uniform(sim);
         job->next_poll_at = sim->now + interval_s * (sim->has_eager_users ? 0.05 : 1);
-        sim->n_polls++;
-        send_to_any_node(sim, index, USER_POLLS);
+        poll(sim, index);
     }
 }
 
