controller, cluster: a leader is polled, and the machines are surveyed, less often

Change: a poll is requested at 1.8 s, or if the job is undetermined; a survey is used for 0.5 s, for 0.1 s if it leaves the job undetermined.

--- a/src/cluster/job_activity.c
+++ b/src/cluster/job_activity.c
@@ -5,8 +5,9 @@
 #include "cluster/start_permission.h"
 #include "cluster/task_evidence.h"
 
-/* Seconds for which a survey is used again. */
-#define SURVEY_PERIOD_S 0.2
+/* Seconds for which a survey is used again, and for which one is that leaves a job undetermined. */
+#define SURVEY_PERIOD_S 0.5
+#define UNDETERMINED_PERIOD_S 0.1
 
 /* A type, zone and kind of which there are machines that may hold unreported tasks. */
 struct machine_kind {
@@ -96,13 +97,10 @@
     return has_started_tasks && rp_ts_cmp(job->activity.idle_as_of, job->stopped_running_at) < 0;
 }
 
-void rp_job_activity_read(struct rp_cluster *cluster, struct rp_job *job,
-                          struct rp_job_status *status) {
-    struct timespec now = rp_loop_now(cluster->loop);
+/* Fills in the status as the newest survey has it. */
+static void read_survey(const struct rp_job *job, struct timespec now,
+                        struct rp_job_status *status) {
     const struct rp_job_activity *activity = &job->activity;
-    bool is_surveyed = !rp_ts_is_zero(activity->surveyed_at);
-    if (!is_surveyed || rp_ts_since(now, cluster->activity_surveyed_at) >= SURVEY_PERIOD_S)
-        survey(cluster, now);
     struct timespec as_of = activity->idle_as_of;
     status->phase = RP_JOB_QUEUED;
     status->done = job->n_done;
@@ -117,3 +115,18 @@
     if (status->age_s > RP_JOB_ACTIVITY_AGE_MAX_S)
         status->phase = RP_JOB_UNDETERMINED;
 }
+
+void rp_job_activity_read(struct rp_cluster *cluster, struct rp_job *job,
+                          struct rp_job_status *status) {
+    struct timespec now = rp_loop_now(cluster->loop);
+    double survey_age_s = rp_ts_since(now, cluster->activity_surveyed_at);
+    bool is_surveyed = !rp_ts_is_zero(job->activity.surveyed_at);
+    if (!is_surveyed || survey_age_s >= SURVEY_PERIOD_S)
+        survey(cluster, now);
+    read_survey(job, now, status);
+    if (status->phase == RP_JOB_UNDETERMINED &&
+        rp_ts_since(now, cluster->activity_surveyed_at) >= UNDETERMINED_PERIOD_S) {
+        survey(cluster, now);
+        read_survey(job, now, status);
+    }
+}
--- a/src/controller/activity_view.c
+++ b/src/controller/activity_view.c
@@ -15,7 +15,7 @@
 /* Seconds after which a failed poll counts as unanswered; a poll that failed sooner was refused. */
 #define UNANSWERED_MIN_S (RESPONSE_TIMEOUT_S / 2)
 /* Age in seconds from which a query requests a newer snapshot. */
-#define SNAPSHOT_AGE_REFRESH_S 0.8
+#define SNAPSHOT_AGE_REFRESH_S 1.8
 /* Shortest time in seconds between two polls, and between two reads of the records. */
 #define REFRESH_PERIOD_MIN_S 0.3
 /* Seconds without a response to a poll after which the records are read, too. */
