--- a/tests/simulation/faults.c
+++ b/tests/simulation/faults.c
@@ -83,6 +83,8 @@
         sim->n_held_duplicates == HELD_DUPLICATES_MAX)
         return;
     struct sim_event *copy = sim_event_new(sim, EV_HEARTBEAT, 1e9);
+    copy->heartbeat_sent_number = event->heartbeat_sent_number;
+    copy->sent_at = event->sent_at;
     copy->body = strdup(event->body);
     copy->index = event->index;
     copy->held_for_next_leader = true;
--- a/tests/simulation/network.c
+++ b/tests/simulation/network.c
@@ -147,6 +147,7 @@
                             .answer = EV_HEARTBEAT_ANSWER,
                             .index = event->index,
                             .heartbeat_number = event->heartbeat_number};
+    sim_record_report(sim, event);
     for (int node = 0; node < sim->n_nodes; node++) {
         bool is_addressed = node == event->node || event->held_for_next_leader;
         bool is_inside = sim->node_in_partition == node + 1;
--- a/tests/simulation/rules.c
+++ b/tests/simulation/rules.c
@@ -15,6 +15,8 @@
 
 /* Seconds by which the state of a job may lag (PROTOCOL). */
 #define STATE_LAG_S 3.0
+/* Seconds on its way up to which a worker's report counts as on time. */
+#define REPORT_ON_TIME_S 0.35
 
 /* The following bounds are in seconds and apply once the faults have ended. */
 
@@ -120,13 +122,29 @@
     return false;
 }
 
+void sim_record_report(struct sim *sim, const struct sim_event *event) {
+    struct sim_worker *worker = &sim->workers[event->index];
+    double late_s = sim->now - event->sent_at;
+    if (event->heartbeat_sent_number <= worker->newest_arrived_number)
+        return;
+    worker->newest_arrived_number = event->heartbeat_sent_number;
+    for (int i = 0; i < worker->n_tasks && late_s > REPORT_ON_TIME_S; i++) {
+        struct sim_job *job = &sim->jobs[worker->tasks[i].job_index];
+        job->late_report_at = sim->now;
+        job->late_report_s = late_s;
+    }
+}
+
 /* Called with each answer that contains a job's phase. state: a user reads that no task runs,
  * although one has run all the time since STATE_LAG_S before the request, or that one runs,
- * although none has. Nodes built from the sources of the previous version break this rule, and what
- * they tell the others makes those break it. */
+ * although none has. A list of tasks is as old as its report (PROTOCOL, "Delayed messages"), and
+ * nothing shows how long that was on its way. Nodes built from the sources of the previous version
+ * break this rule, and what they tell the others makes those break it. */
 void sim_check_activity(struct sim *sim, const struct sim_event *answer, const char *phase) {
     const struct sim_job *job = &sim->jobs[answer->index];
     double since = answer->sent_at - STATE_LAG_S - SIM_STEP_S;
+    if (sim->now < job->late_report_at + STATE_LAG_S)
+        since -= job->late_report_s;
     /* The planted defect that hides the end of gangs must violate not_served instead. */
     if (answer->is_beside_old_node || sim->breakage == SIM_GANG_ENDS_ARE_HIDDEN)
         return;
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -193,9 +193,10 @@
     int node; /* index of the node that the worker sends heartbeats to */
     bool heartbeat_in_flight;
     double sent_at, next_heartbeat_at;
-    uint64_t heartbeat_number; /* number of the heartbeat in flight */
-    bool changed;              /* its state has changed since the last heartbeat */
-    double exited_at;          /* when a task last exited and no task has started since; 0: none */
+    uint64_t heartbeat_number;      /* number of the heartbeat in flight */
+    uint64_t newest_arrived_number; /* of the newest heartbeat that has arrived */
+    bool changed;                   /* its state has changed since the last heartbeat */
+    double exited_at; /* when a task last exited and no task has started since; 0: none */
 };
 
 struct sim_job {
@@ -205,6 +206,9 @@
     bool accepted, reported_done, reported_cancelled, cancel_requested, has_started;
     double answered_at;                   /* when a response last contained the job's state */
     double last_running_at, last_idle_at; /* when a task of the job last ran, and when none did */
+    /* When the newest heartbeat of a machine with the job's tasks last arrived late, and how late.
+     */
+    double late_report_at, late_report_s;
     double cancelled_at, terminal_reported_at, accepted_at, next_poll_at, submit_at, cancel_at;
     bool *done; /* for each task; this and the arrays below have SIM_JOB_TASKS elements */
     bool fails_always;
--- a/tests/simulation/workers.c
+++ b/tests/simulation/workers.c
@@ -177,6 +177,8 @@
     if (sim->breakage == SIM_DUPLICATES_GET_NEW_INCARNATION)
         give_duplicate_new_incarnation(copy);
     copy->index = event->index;
+    copy->heartbeat_sent_number = event->heartbeat_sent_number;
+    copy->sent_at = event->sent_at;
     copy->node = event->node;
     if (is_late)
         copy->node = (int)gsl_rng_uniform_int(sim->rng, (unsigned long)sim->n_nodes);
@@ -216,6 +218,8 @@
     event->index = index;
     event->node = worker->node;
     event->heartbeat_number = ++worker->heartbeat_number;
+    event->heartbeat_sent_number = worker->heartbeat_number;
+    event->sent_at = sim->now;
     worker->heartbeat_in_flight = true;
     worker->sent_at = sim->now;
     delay_heartbeat(sim, event);
