controller, cluster, protocol: what the new modules hold is called the phases of jobs

Cause: 'activity' names the bounded work of a scheduling cycle already (scheduler/activity.h).

Nothing else changes.

--- a/src/api/user_api.c
+++ b/src/api/user_api.c
@@ -18,11 +18,11 @@
 /* Seconds in the `Retry-After` header of a response to a request that cannot be answered now. */
 #define RETRY_AFTER_S 1
 #define NO_RETRY_AFTER 0
-/* Seconds for which a request waits for its job's activity. A user waits 2 s for a response
+/* Seconds for which a request waits for its job's phase. A user waits 2 s for a response
  * (PROTOCOL). */
-#define ACTIVITY_WAIT_MAX_S 1.5
-/* Seconds between two reads of the activity for a request that waits. */
-#define ACTIVITY_PERIOD_S 0.1
+#define PHASE_WAIT_MAX_S 1.5
+/* Seconds between two reads of the phase for a request that waits. */
+#define PHASE_PERIOD_S 0.1
 
 enum request_kind { REQUEST_SUBMIT, REQUEST_QUERY, REQUEST_CANCEL };
 
@@ -31,8 +31,8 @@
     REQUEST_READING_OPEN,     /* is the job open? read by a request of its own */
     REQUEST_READING_TERMINAL, /* has the job ended? */
     REQUEST_READING_FORMAT,   /* do all nodes support services by now? */
-    REQUEST_WRITING, /* the transaction of the submission or the cancellation is in flight */
-    REQUEST_AWAITING_ACTIVITY, /* the job is open; is a task running? */
+    REQUEST_WRITING,        /* the transaction of the submission or the cancellation is in flight */
+    REQUEST_AWAITING_PHASE, /* the job is open; is a task running? */
     REQUEST_ANSWERED
 };
 
@@ -51,7 +51,7 @@
     size_t value_max_bytes; /* lowered after the store has refused a larger value; 0: the limit of
                                the settings */
     struct timespec received_at;
-    struct rp_timer activity_timer; /* set while the request awaits the job's activity */
+    struct rp_timer phase_timer; /* set while the request awaits the job's phase */
 };
 
 static void set_state(struct user_request *request, enum request_state state);
@@ -65,7 +65,7 @@
 
 static bool has_time_to_wait(const struct user_request *request) {
     struct timespec now = rp_loop_now(request->api->loop);
-    return rp_ts_since(now, request->received_at) < ACTIVITY_WAIT_MAX_S;
+    return rp_ts_since(now, request->received_at) < PHASE_WAIT_MAX_S;
 }
 
 /* ---- responses, each of which ends the request ---- */
@@ -116,28 +116,28 @@
     struct rp_user_api *api = request->api;
     struct rp_job_status job = {0};
     rp_string_copy(job.id, sizeof job.id, request->id);
-    api->read_activity(api->arg, &job);
+    api->read_phase(api->arg, &job);
     if (job.phase != RP_JOB_UNDETERMINED) {
         respond(request, RP_RESPONSE_OK, rp_user_codec_write_job_status(&job), NO_RETRY_AFTER);
     } else if (has_time_to_wait(request)) {
-        set_state(request, REQUEST_AWAITING_ACTIVITY);
+        set_state(request, REQUEST_AWAITING_PHASE);
     } else {
         api->n_undetermined++;
         respond_unavailable(request);
     }
 }
 
-/* Reads the job again once its activity is determined, since it may have ended meanwhile. */
-static void on_activity_timer(void *arg) {
+/* Reads the job again once its phase is determined, since it may have ended meanwhile. */
+static void on_phase_timer(void *arg) {
     struct user_request *request = arg;
     struct rp_user_api *api = request->api;
     struct rp_job_status job = {0};
     rp_string_copy(job.id, sizeof job.id, request->id);
-    api->read_activity(api->arg, &job);
+    api->read_phase(api->arg, &job);
     if (job.phase != RP_JOB_UNDETERMINED)
         set_state(request, state_of_lookup(request));
     else if (has_time_to_wait(request))
-        rp_timer_set(api->loop, &request->activity_timer, ACTIVITY_PERIOD_S);
+        rp_timer_set(api->loop, &request->phase_timer, PHASE_PERIOD_S);
     else
         respond_open_job(request);
 }
@@ -352,9 +352,9 @@
  *   already is answered with its state;
  * - writing -> writing: the store refused the size, and the record is written in smaller pieces;
  * - writing -> reading open: a conflict, or no response, or the submission cannot be stored;
- * - looking up, reading open -> awaiting activity: the job is open, and whether a task is running
+ * - looking up, reading open -> awaiting phase: the job is open, and whether a task is running
  * is undetermined;
- * - awaiting activity -> looking up or reading open: it is determined now, and the job is read
+ * - awaiting phase -> looking up or reading open: it is determined now, and the job is read
  * again;
  * - any -> answered: the response has been sent, and the request is freed. */
 static void set_state(struct user_request *request, enum request_state state) {
@@ -381,9 +381,9 @@
         else
             write_cancellation(request);
         break;
-    case REQUEST_AWAITING_ACTIVITY:
-        request->activity_timer = (struct rp_timer){.fn = on_activity_timer, .arg = request};
-        rp_timer_set(request->api->loop, &request->activity_timer, ACTIVITY_PERIOD_S);
+    case REQUEST_AWAITING_PHASE:
+        request->phase_timer = (struct rp_timer){.fn = on_phase_timer, .arg = request};
+        rp_timer_set(request->api->loop, &request->phase_timer, PHASE_PERIOD_S);
         break;
     case REQUEST_ANSWERED:
         break;
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -29,7 +29,7 @@
     struct rp_metrics *metrics;
     /** Fills in the phase of an open job and the counts of its tasks. RP_JOB_UNDETERMINED: this
      * node has no proof whether a task is running, and the caller asks again a little later. */
-    void (*read_activity)(void *arg, struct rp_job_status *status);
+    void (*read_phase)(void *arg, struct rp_job_status *status);
     void *arg;
     unsigned long n_accepted;     /* submissions that this node has written to the store */
     unsigned long n_undetermined; /* requests refused because the job's phase was undetermined */
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -30,8 +30,8 @@
     bool unreconciled_stale;
     /* Number of machines that hold unknown tasks (unknown_tasks.h) that have not exited. */
     size_t n_machines_with_unknown_tasks;
-    struct timespec activity_surveyed_at; /* newest survey (job_activity.h); zero: none */
-    double *team_cpus, *team_gpus;        /* resources of each team's counted allocations */
+    struct timespec phases_surveyed_at; /* newest survey (job_phase.h); zero: none */
+    double *team_cpus, *team_gpus;      /* resources of each team's counted allocations */
     uint64_t fencing_token;
     uint64_t attempt_base, attempt_next;
     unsigned n_failed_direct_starts; /* replicas that were started directly and failed, in the term;
--- a/src/cluster/job_activity.c
+++ b/src/cluster/job_phase.c
@@ -1,4 +1,4 @@
-#include "cluster/job_activity.h"
+#include "cluster/job_phase.h"
 
 #include <math.h>
 #include "base/memory.h"
@@ -51,17 +51,17 @@
 
 static void survey_allocation(const struct rp_machine *machine,
                               const struct rp_allocation *allocation) {
-    struct rp_job_activity *activity = &allocation->job->activity;
+    struct rp_job_survey *survey = &allocation->job->survey;
     struct timespec described_at = machine->contact.described_at;
     bool is_seen = allocation->state == RP_ALLOCATION_SEEN;
     if (!is_seen && allocation->state != RP_ALLOCATION_SENT)
         return;
     if (is_seen && allocation->task_state == RP_TASK_RUNNING) {
-        activity->n_running++;
-        if (rp_ts_cmp(described_at, activity->running_as_of) > 0)
-            activity->running_as_of = described_at;
-    } else if (rp_ts_cmp(described_at, activity->idle_as_of) < 0) {
-        activity->idle_as_of = described_at;
+        survey->n_running++;
+        if (rp_ts_cmp(described_at, survey->running_as_of) > 0)
+            survey->running_as_of = described_at;
+    } else if (rp_ts_cmp(described_at, survey->idle_as_of) < 0) {
+        survey->idle_as_of = described_at;
     }
 }
 
@@ -74,59 +74,59 @@
         if (is_described)
             survey_allocation(machine, &machine->allocations[i]);
         else if (machine->allocations[i].state != RP_ALLOCATION_EXITED)
-            machine->allocations[i].job->activity.has_unknown = true;
+            machine->allocations[i].job->survey.has_unknown = true;
     }
 }
 
-static void survey(struct rp_cluster *cluster, struct timespec now) {
+static void survey_machines(struct rp_cluster *cluster, struct timespec now) {
     struct unknown_kinds unknown = {0};
-    cluster->activity_surveyed_at = now;
+    cluster->phases_surveyed_at = now;
     for (struct rp_job *job = cluster->jobs->table.first; job; job = job->next)
-        job->activity = (struct rp_job_activity){.surveyed_at = now, .idle_as_of = now};
+        job->survey = (struct rp_job_survey){.surveyed_at = now, .idle_as_of = now};
     for (const struct rp_machine *machine = cluster->first; machine; machine = machine->next)
         survey_machine(machine, now, &unknown);
     for (struct rp_job *job = cluster->jobs->table.first; job && unknown.n > 0; job = job->next)
-        job->activity.has_unknown |= may_be_unreported(cluster, job, &unknown);
+        job->survey.has_unknown |= may_be_unreported(cluster, job, &unknown);
     free(unknown.kinds);
 }
 
 /* Whether there may have been no moment without a running task: after the message that one has
  * stopped, no message has shown that another one, of another machine, does not run. */
 static bool may_have_overlapped(const struct rp_job *job) {
-    bool has_started_tasks = rp_ts_cmp(job->activity.idle_as_of, job->activity.surveyed_at) < 0;
-    return has_started_tasks && rp_ts_cmp(job->activity.idle_as_of, job->stopped_running_at) < 0;
+    bool has_started_tasks = rp_ts_cmp(job->survey.idle_as_of, job->survey.surveyed_at) < 0;
+    return has_started_tasks && rp_ts_cmp(job->survey.idle_as_of, job->stopped_running_at) < 0;
 }
 
 /* Fills in the status as the newest survey has it. */
 static void read_survey(const struct rp_job *job, struct timespec now,
                         struct rp_job_status *status) {
-    const struct rp_job_activity *activity = &job->activity;
-    struct timespec as_of = activity->idle_as_of;
+    const struct rp_job_survey *survey = &job->survey;
+    struct timespec as_of = survey->idle_as_of;
     status->phase = RP_JOB_QUEUED;
     status->done = job->n_done;
-    status->running = activity->n_running;
-    if (activity->n_running > 0) {
+    status->running = survey->n_running;
+    if (survey->n_running > 0) {
         status->phase = RP_JOB_RUNNING;
-        as_of = activity->running_as_of;
-    } else if (activity->has_unknown || may_have_overlapped(job)) {
+        as_of = survey->running_as_of;
+    } else if (survey->has_unknown || may_have_overlapped(job)) {
         status->phase = RP_JOB_UNDETERMINED;
     }
     status->age_s = fmax(0, rp_ts_since(now, as_of));
-    if (status->age_s > RP_JOB_ACTIVITY_AGE_MAX_S)
+    if (status->age_s > RP_JOB_PHASE_AGE_MAX_S)
         status->phase = RP_JOB_UNDETERMINED;
 }
 
-void rp_job_activity_read(struct rp_cluster *cluster, struct rp_job *job,
-                          struct rp_job_status *status) {
+void rp_job_phase_read(struct rp_cluster *cluster, struct rp_job *job,
+                       struct rp_job_status *status) {
     struct timespec now = rp_loop_now(cluster->loop);
-    double survey_age_s = rp_ts_since(now, cluster->activity_surveyed_at);
-    bool is_surveyed = !rp_ts_is_zero(job->activity.surveyed_at);
+    double survey_age_s = rp_ts_since(now, cluster->phases_surveyed_at);
+    bool is_surveyed = !rp_ts_is_zero(job->survey.surveyed_at);
     if (!is_surveyed || survey_age_s >= SURVEY_PERIOD_S)
-        survey(cluster, now);
+        survey_machines(cluster, now);
     read_survey(job, now, status);
     if (status->phase == RP_JOB_UNDETERMINED &&
-        rp_ts_since(now, cluster->activity_surveyed_at) >= UNDETERMINED_PERIOD_S) {
-        survey(cluster, now);
+        rp_ts_since(now, cluster->phases_surveyed_at) >= UNDETERMINED_PERIOD_S) {
+        survey_machines(cluster, now);
         read_survey(job, now, status);
     }
 }
--- a/src/controller/node.c
+++ b/src/controller/node.c
@@ -259,10 +259,10 @@
 
 static void init_users_and_peers(struct rp_node *node) {
     const struct rp_settings *settings = node->settings;
-    rp_activity_report_init(&node->activity_report, node->loop, &node->store, settings,
-                            &node->state, &node->election, &node->cluster);
-    rp_activity_view_init(&node->activity_view, node->loop, node->net, &node->store, settings,
-                          &node->election, &node->cluster, &node->activity_report);
+    rp_phase_report_init(&node->phase_report, node->loop, &node->store, settings, &node->state,
+                         &node->election, &node->cluster);
+    rp_phase_view_init(&node->phase_view, node->loop, node->net, &node->store, settings,
+                       &node->election, &node->cluster, &node->phase_report);
     rp_peer_health_init(&node->peer_health, node->loop, node->net, settings, &node->store,
                         &node->jobs);
     node->api = (struct rp_user_api){.loop = node->loop,
@@ -274,8 +274,8 @@
                                      .job_lookup = &node->job_lookup,
                                      .terminal_states = &node->terminal_states,
                                      .metrics = &node->metrics,
-                                     .read_activity = rp_activity_view_read,
-                                     .arg = &node->activity_view};
+                                     .read_phase = rp_phase_view_read,
+                                     .arg = &node->phase_view};
 }
 
 /* Each part is initialized after those that it refers to. */
@@ -305,8 +305,8 @@
     rp_upgrade_start(&node->upgrade);
     rp_image_index_start(&node->image_index);
     rp_standby_start(&node->standby);
-    rp_activity_report_start(&node->activity_report);
-    rp_activity_view_start(&node->activity_view);
+    rp_phase_report_start(&node->phase_report);
+    rp_phase_view_start(&node->phase_view);
     rp_peer_health_start(&node->peer_health);
 }
 
@@ -331,8 +331,8 @@
     rp_catalog_source_close(&node->catalog_source);
     rp_timer_cancel(node->loop, &node->recovery_timer);
     rp_cycle_trigger_stop(&node->cycle_trigger);
-    rp_activity_report_close(&node->activity_report);
-    rp_activity_view_close(&node->activity_view);
+    rp_phase_report_close(&node->phase_report);
+    rp_phase_view_close(&node->phase_view);
     rp_peer_health_stop(&node->peer_health);
     rp_job_lookup_close(&node->job_lookup);
     rp_kv_client_close(&node->store);
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -20,11 +20,11 @@
 #include "cluster/fleet.h"
 #include "cluster/image_index.h"
 #include "config/settings.h"
-#include "controller/activity_report.h"
-#include "controller/activity_view.h"
 #include "controller/cycle_trigger.h"
 #include "controller/node_state.h"
 #include "controller/peer_health.h"
+#include "controller/phase_report.h"
+#include "controller/phase_view.h"
 #include "election/election.h"
 #include "jobs/job_lookup.h"
 #include "jobs/jobs.h"
@@ -72,8 +72,8 @@
     /* Users and other nodes. */
     struct rp_terminal_states terminal_states;
     struct rp_user_api api;
-    struct rp_activity_report activity_report;
-    struct rp_activity_view activity_view;
+    struct rp_phase_report phase_report;
+    struct rp_phase_view phase_view;
     struct rp_peer_health peer_health;
 };
 
--- a/src/controller/node_requests.c
+++ b/src/controller/node_requests.c
@@ -68,9 +68,9 @@
     return rp_status_json(&sources);
 }
 
-static void answer_activity_poll(struct rp_node *node, struct rp_request *req, const char *query) {
-    if (rp_activity_report_may_report(&node->activity_report))
-        respond_json(req, rp_activity_report_answer(&node->activity_report, query));
+static void answer_phases_poll(struct rp_node *node, struct rp_request *req, const char *query) {
+    if (rp_phase_report_may_report(&node->phase_report))
+        respond_json(req, rp_phase_report_answer(&node->phase_report, query));
     else
         refuse(req, RP_RESPONSE_UNAVAILABLE, "not the leader");
 }
@@ -88,8 +88,8 @@
     const char *target = req->target;
     if (!is_get(req))
         refuse_path(req);
-    else if (has_prefix(target, RP_PATH_ACTIVITY))
-        answer_activity_poll(node, req, target + strlen(RP_PATH_ACTIVITY));
+    else if (has_prefix(target, RP_PATH_PHASES))
+        answer_phases_poll(node, req, target + strlen(RP_PATH_PHASES));
     else if (has_prefix(target, RP_PATH_STREAM))
         respond_json(req, rp_standby_answer(&node->standby, target));
     else if (strcmp(target, RP_PATH_IMAGES) == 0)
--- a/src/controller/activity_view.c
+++ b/src/controller/phase_view.c
@@ -1,10 +1,10 @@
-#include "controller/activity_view.h"
+#include "controller/phase_view.h"
 
 #include <stdio.h>
 #include <string.h>
 #include "api/response_status.h"
 #include "base/string_copy.h"
-#include "cluster/job_activity.h"
+#include "cluster/job_phase.h"
 #include "store/records.h"
 
 /* Seconds between two polls of the leader that no query has requested. */
@@ -28,26 +28,26 @@
 /* ---- polls of the leader ---- */
 
 /* Takes over the snapshot if it is newer than the one before. */
-static void take_snapshot(struct rp_activity_view *view, struct rp_activity_snapshot *snapshot,
+static void take_snapshot(struct rp_phase_view *view, struct rp_phase_snapshot *snapshot,
                           struct timespec as_of) {
     if (rp_ts_cmp(as_of, view->as_of) <= 0) {
-        rp_activity_snapshot_free(snapshot);
+        rp_phase_snapshot_free(snapshot);
         return;
     }
-    rp_activity_snapshot_free(&view->snapshot);
+    rp_phase_snapshot_free(&view->snapshot);
     view->snapshot = *snapshot;
     view->as_of = as_of;
 }
 
 /* Whether the leader is of a version that answers no poll with a name. That is forgotten when
  * another node leads. */
-static bool is_old_leader(struct rp_activity_view *view) {
+static bool is_old_leader(struct rp_phase_view *view) {
     if (strcmp(view->old_leader, view->election->leader) != 0)
         view->old_leader[0] = '\0';
     return *view->old_leader;
 }
 
-static void record_leader_response(const struct rp_activity_view *view, bool is_answered) {
+static void record_leader_response(const struct rp_phase_view *view, bool is_answered) {
     /* A refused connection, which is reported at once, does not prove that the leader is silent. */
     bool is_silent =
         !is_answered && rp_ts_since(rp_loop_now(view->loop), view->polled_at) > UNANSWERED_MIN_S;
@@ -55,17 +55,17 @@
         rp_election_record_leader_response(view->election, is_answered);
 }
 
-static void poll_leader(struct rp_activity_view *view);
+static void poll_leader(struct rp_phase_view *view);
 
 static void on_poll_response(void *arg, const struct rp_response *answer) {
-    struct rp_activity_view *view = arg;
-    struct rp_activity_snapshot snapshot;
+    struct rp_phase_view *view = arg;
+    struct rp_phase_snapshot snapshot;
     bool is_answered = answer->status != 0;
     bool was_old_leader = is_old_leader(view);
     view->poll_in_flight = false;
     record_leader_response(view, is_answered);
     view->has_poll_failed = answer->status != RP_RESPONSE_OK ||
-                            !rp_activity_codec_parse(answer->body, answer->len, &snapshot);
+                            !rp_phase_codec_parse(answer->body, answer->len, &snapshot);
     view->was_poll_late = view->has_poll_failed ||
                           rp_ts_since(rp_loop_now(view->loop), view->polled_at) > POLL_LATE_S;
     if (!view->has_poll_failed)
@@ -80,16 +80,16 @@
 }
 
 /* Polls the leader, if this node knows one and no poll is in flight. */
-static void poll_leader(struct rp_activity_view *view) {
+static void poll_leader(struct rp_phase_view *view) {
     const struct rp_settings *settings = view->settings;
-    char target[sizeof RP_PATH_ACTIVITY RP_QUERY_ACTIVITY_NODE + RP_NAME_MAX];
+    char target[sizeof RP_PATH_PHASES RP_QUERY_PHASES_NODE + RP_NAME_MAX];
     if (view->poll_in_flight || *view->report->node_state != RP_NODE_FOLLOWING)
         return;
     /* A leader writes records while a node's polls do not come, or come without its name: their
      * responses are late. */
     bool is_named = !is_old_leader(view) && !view->was_poll_late;
-    snprintf(target, sizeof target, "%s%s%s", RP_PATH_ACTIVITY,
-             is_named ? RP_QUERY_ACTIVITY_NODE : "", is_named ? settings->node : "");
+    snprintf(target, sizeof target, "%s%s%s", RP_PATH_PHASES, is_named ? RP_QUERY_PHASES_NODE : "",
+             is_named ? settings->node : "");
     view->polled_at = rp_loop_now(view->loop);
     view->has_poll_failed = true; /* unless the leader is known, and responds */
     for (size_t i = 0; i < settings->n_peers; i++) {
@@ -103,7 +103,7 @@
 }
 
 static void on_poll_due(void *arg) {
-    struct rp_activity_view *view = arg;
+    struct rp_phase_view *view = arg;
     rp_timer_set(view->loop, &view->timer, POLL_PERIOD_S);
     poll_leader(view);
 }
@@ -112,14 +112,13 @@
 
 /* Takes over a snapshot that a leader wrote at this time of day. Both nodes' clocks may be wrong. A
  * write may have been carried out late: only the time of day shows how old the records are. */
-static void take_written_snapshot(struct rp_activity_view *view,
-                                  struct rp_activity_snapshot *snapshot,
+static void take_written_snapshot(struct rp_phase_view *view, struct rp_phase_snapshot *snapshot,
                                   struct timespec written_at) {
     double skew_s = 2 * view->settings->clock_skew_s;
     double age_s = rp_ts_since(rp_loop_wall_now(view->loop), written_at);
-    rp_activity_snapshot_sort(snapshot);
+    rp_phase_snapshot_sort(snapshot);
     if (age_s < -skew_s)
-        rp_activity_snapshot_free(snapshot);
+        rp_phase_snapshot_free(snapshot);
     else
         take_snapshot(view, snapshot, rp_ts_sub(rp_loop_now(view->loop), rp_ts(age_s + skew_s)));
 }
@@ -136,8 +135,8 @@
 /* Reads the records of the newest transaction. There may be older ones, if an earlier transaction
  * wrote more records. */
 static void on_records_listed(void *arg, const struct rp_kv_result *result) {
-    struct rp_activity_view *view = arg;
-    struct rp_activity_snapshot snapshot = {0};
+    struct rp_phase_view *view = arg;
+    struct rp_phase_snapshot snapshot = {0};
     struct rp_kv_item items[RECORDS_MAX];
     struct timespec written_at;
     uint64_t newest = newest_revision(result);
@@ -148,47 +147,47 @@
             n++;
     bool is_ok = n > 0;
     for (size_t i = 0; i < n; i++)
-        is_ok &= rp_activity_codec_read_record(items[i].value, n, &snapshot, &written_at);
+        is_ok &= rp_phase_codec_read_record(items[i].value, n, &snapshot, &written_at);
     if (is_ok)
         take_written_snapshot(view, &snapshot, written_at);
     else
-        rp_activity_snapshot_free(&snapshot);
+        rp_phase_snapshot_free(&snapshot);
 }
 
 /* Mostly there is one record; more of them are read together. */
 static void on_first_record_read(void *arg, const struct rp_kv_result *result) {
-    struct rp_activity_view *view = arg;
-    struct rp_activity_snapshot snapshot = {0};
+    struct rp_phase_view *view = arg;
+    struct rp_phase_snapshot snapshot = {0};
     struct timespec written_at;
     struct rp_kv_item item;
     bool exists = rp_kv_result_item(result, &item);
     view->records_read_in_flight = false;
-    if (exists && rp_activity_codec_read_record(item.value, 1, &snapshot, &written_at)) {
+    if (exists && rp_phase_codec_read_record(item.value, 1, &snapshot, &written_at)) {
         take_written_snapshot(view, &snapshot, written_at);
         return;
     }
-    rp_activity_snapshot_free(&snapshot);
+    rp_phase_snapshot_free(&snapshot);
     if (!exists)
         return;
     view->records_read_in_flight = true;
-    rp_kv_list(view->store, RP_KV_BUDGET_QUERIES, RP_KEY_ACTIVITY, NULL, RECORDS_MAX,
+    rp_kv_list(view->store, RP_KV_BUDGET_QUERIES, RP_KEY_PHASES, NULL, RECORDS_MAX,
                on_records_listed, view);
 }
 
-static void read_records(struct rp_activity_view *view) {
+static void read_records(struct rp_phase_view *view) {
     char key[RP_KEY_MAX];
     if (view->records_read_in_flight)
         return;
     view->records_read_at = rp_loop_now(view->loop);
     view->records_read_in_flight = true;
-    rp_key(key, RP_KEY_ACTIVITY, RP_ACTIVITY_FIRST_RECORD);
+    rp_key(key, RP_KEY_PHASES, RP_PHASES_FIRST_RECORD);
     rp_kv_get(view->store, RP_KV_BUDGET_QUERIES, key, on_first_record_read, view);
 }
 
 /* ---- queries ---- */
 
 /* Requests a newer snapshot, from the leader and, while it does not respond, from the store. */
-static void request_snapshot(struct rp_activity_view *view) {
+static void request_snapshot(struct rp_phase_view *view) {
     struct timespec now = rp_loop_now(view->loop);
     double since_poll_s = rp_ts_since(now, view->polled_at);
     bool is_slow = view->poll_in_flight && since_poll_s > POLL_SLOW_S;
@@ -199,30 +198,30 @@
         read_records(view);
 }
 
-static void read_own(const struct rp_activity_view *view, struct rp_job_status *status) {
+static void read_own(const struct rp_phase_view *view, struct rp_job_status *status) {
     struct rp_job *job = rp_jobs_find(view->cluster->jobs, status->id);
-    if (!rp_activity_report_may_report(view->report))
+    if (!rp_phase_report_may_report(view->report))
         return;
     /* A job that is not in the table was accepted a moment ago, after this node began to lead: none
      * of its tasks has been started. */
     status->phase = RP_JOB_QUEUED;
     if (job)
-        rp_job_activity_read(view->cluster, job, status);
+        rp_job_phase_read(view->cluster, job, status);
 }
 
-static void read_received(struct rp_activity_view *view, struct rp_job_status *status) {
+static void read_received(struct rp_phase_view *view, struct rp_job_status *status) {
     double snapshot_age_s = rp_ts_since(rp_loop_now(view->loop), view->as_of);
     bool is_refresh_due = rp_ts_is_zero(view->as_of) || snapshot_age_s > SNAPSHOT_AGE_REFRESH_S;
-    rp_activity_snapshot_find(&view->snapshot, status);
+    rp_phase_snapshot_find(&view->snapshot, status);
     status->age_s += snapshot_age_s;
-    if (rp_ts_is_zero(view->as_of) || status->age_s > RP_JOB_ACTIVITY_AGE_MAX_S)
+    if (rp_ts_is_zero(view->as_of) || status->age_s > RP_JOB_PHASE_AGE_MAX_S)
         status->phase = RP_JOB_UNDETERMINED;
     if (is_refresh_due || status->phase == RP_JOB_UNDETERMINED)
         request_snapshot(view);
 }
 
-void rp_activity_view_read(void *view_of_api, struct rp_job_status *status) {
-    struct rp_activity_view *view = view_of_api;
+void rp_phase_view_read(void *view_of_api, struct rp_job_status *status) {
+    struct rp_phase_view *view = view_of_api;
     status->phase = RP_JOB_UNDETERMINED;
     status->done = status->running = 0;
     if (*view->report->node_state == RP_NODE_LEADING)
@@ -233,25 +232,25 @@
 
 /* ---- start and stop ---- */
 
-void rp_activity_view_init(struct rp_activity_view *view, struct rp_loop *loop, struct rp_net net,
-                           struct rp_kv_client *store, const struct rp_settings *settings,
-                           struct rp_election *election, struct rp_cluster *cluster,
-                           const struct rp_activity_report *report) {
-    *view = (struct rp_activity_view){.loop = loop,
-                                      .net = net,
-                                      .store = store,
-                                      .settings = settings,
-                                      .election = election,
-                                      .cluster = cluster,
-                                      .report = report,
-                                      .timer = {.fn = on_poll_due, .arg = view}};
+void rp_phase_view_init(struct rp_phase_view *view, struct rp_loop *loop, struct rp_net net,
+                        struct rp_kv_client *store, const struct rp_settings *settings,
+                        struct rp_election *election, struct rp_cluster *cluster,
+                        const struct rp_phase_report *report) {
+    *view = (struct rp_phase_view){.loop = loop,
+                                   .net = net,
+                                   .store = store,
+                                   .settings = settings,
+                                   .election = election,
+                                   .cluster = cluster,
+                                   .report = report,
+                                   .timer = {.fn = on_poll_due, .arg = view}};
 }
 
-void rp_activity_view_start(struct rp_activity_view *view) {
+void rp_phase_view_start(struct rp_phase_view *view) {
     rp_timer_set(view->loop, &view->timer, POLL_PERIOD_S);
 }
 
-void rp_activity_view_close(struct rp_activity_view *view) {
+void rp_phase_view_close(struct rp_phase_view *view) {
     rp_timer_cancel(view->loop, &view->timer);
-    rp_activity_snapshot_free(&view->snapshot);
+    rp_phase_snapshot_free(&view->snapshot);
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -29,8 +29,8 @@
 #define RP_JOB_COUNT_BLOCK 1024
 
 /** What the machines' messages showed of the job's tasks at the newest survey
- * (cluster/job_activity.h). An instant of zero: never, or none. */
-struct rp_job_activity {
+ * (cluster/job_phase.h). An instant of zero: never, or none. */
+struct rp_job_survey {
     struct timespec surveyed_at;
     struct timespec running_as_of; /* newest message that lists a running task */
     struct timespec idle_as_of;    /* oldest message of a machine with a started task that does not
@@ -51,7 +51,7 @@
     double age_at_first_seen_s;
     int team; /* index of the job's team in the settings */
     uint32_t n_done, n_running;
-    struct rp_job_activity activity;
+    struct rp_job_survey survey;
     struct timespec stopped_running_at; /* when a task was last found to have stopped running */
     uint32_t n_allocated;               /* allocations whose task may be on a machine */
     uint32_t n_allocations; /* allocations, also of ended tasks that workers still list */
--- a/src/protocol/activity_codec.c
+++ b/src/protocol/phase_codec.c
@@ -1,4 +1,4 @@
-#include "protocol/activity_codec.h"
+#include "protocol/phase_codec.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -29,13 +29,13 @@
     return strcmp(((const struct rp_job_status *)a)->id, ((const struct rp_job_status *)b)->id);
 }
 
-void rp_activity_snapshot_sort(struct rp_activity_snapshot *snapshot) {
+void rp_phase_snapshot_sort(struct rp_phase_snapshot *snapshot) {
     if (snapshot->n_jobs > 0)
         qsort(snapshot->jobs, snapshot->n_jobs, sizeof *snapshot->jobs, compare_ids);
 }
 
-void rp_activity_snapshot_find(const struct rp_activity_snapshot *snapshot,
-                               struct rp_job_status *status) {
+void rp_phase_snapshot_find(const struct rp_phase_snapshot *snapshot,
+                            struct rp_job_status *status) {
     const struct rp_job_status *found = NULL;
     if (snapshot->n_jobs > 0)
         found =
@@ -47,12 +47,12 @@
         *status = *found;
 }
 
-void rp_activity_snapshot_free(struct rp_activity_snapshot *snapshot) {
+void rp_phase_snapshot_free(struct rp_phase_snapshot *snapshot) {
     free(snapshot->jobs);
-    *snapshot = (struct rp_activity_snapshot){0};
+    *snapshot = (struct rp_phase_snapshot){0};
 }
 
-static struct rp_job_status *append(struct rp_activity_snapshot *snapshot, const char *id) {
+static struct rp_job_status *append(struct rp_phase_snapshot *snapshot, const char *id) {
     snapshot->jobs = rp_realloc(snapshot->jobs, snapshot->n_jobs + 1, sizeof *snapshot->jobs);
     struct rp_job_status *status = &snapshot->jobs[snapshot->n_jobs++];
     *status = (struct rp_job_status){.phase = RP_JOB_QUEUED};
@@ -62,7 +62,7 @@
 
 /* ---- the message between nodes ---- */
 
-char *rp_activity_codec_write(const char *node, const struct rp_activity_snapshot *snapshot) {
+char *rp_phase_codec_write(const char *node, const struct rp_phase_snapshot *snapshot) {
     json_t *jobs = json_object();
     json_t *unknown = json_array();
     for (size_t i = 0; i < snapshot->n_jobs; i++) {
@@ -78,7 +78,7 @@
 }
 
 /* Reads [done, running, age in ms] of each job; earlier versions do not send the age. */
-static void read_counts(const json_t *jobs, struct rp_activity_snapshot *out) {
+static void read_counts(const json_t *jobs, struct rp_phase_snapshot *out) {
     const char *id;
     json_t *pair;
     json_object_foreach((json_t *)jobs, id, pair) {
@@ -92,16 +92,16 @@
     }
 }
 
-bool rp_activity_codec_parse(const char *text, size_t len, struct rp_activity_snapshot *out) {
+bool rp_phase_codec_parse(const char *text, size_t len, struct rp_phase_snapshot *out) {
     json_t *body = rp_codec_parse_object(text, len);
     const json_t *jobs = json_object_get(body, "jobs");
     const json_t *id;
     size_t i;
-    *out = (struct rp_activity_snapshot){.is_complete = true};
+    *out = (struct rp_phase_snapshot){.is_complete = true};
     bool is_ok = json_is_object(jobs);
     if (is_ok)
         read_counts(jobs, out);
-    rp_activity_snapshot_sort(out);
+    rp_phase_snapshot_sort(out);
     json_array_foreach(json_object_get(body, "unknown"), i, id) {
         struct rp_job_status key = {0};
         if (!json_is_string(id) ||
@@ -159,7 +159,7 @@
 }
 
 /* Writes a list of the jobs from `*next` on, as many as fit. Returns its length. */
-static size_t write_list(const struct rp_activity_snapshot *snapshot, size_t *next, char *list,
+static size_t write_list(const struct rp_phase_snapshot *snapshot, size_t *next, char *list,
                          size_t capacity, bool *has_left_out) {
     char entry[ENTRY_BYTES];
     unsigned long long last = 0;
@@ -181,9 +181,8 @@
     return len;
 }
 
-size_t rp_activity_codec_write_records(const struct rp_activity_snapshot *snapshot,
-                                       struct timespec as_of, size_t max_bytes, json_t **records,
-                                       size_t n_max) {
+size_t rp_phase_codec_write_records(const struct rp_phase_snapshot *snapshot, struct timespec as_of,
+                                    size_t max_bytes, json_t **records, size_t n_max) {
     size_t capacity = max_bytes > RECORD_FRAME_BYTES ? max_bytes - RECORD_FRAME_BYTES : 0;
     char *list = rp_alloc(capacity + 1, 1);
     bool has_left_out = !snapshot->is_complete;
@@ -213,7 +212,7 @@
 
 /* Reads the job at `text`; returns what follows it, or NULL if it is malformed. */
 static const char *read_entry(const char *text, unsigned long long *last,
-                              struct rp_activity_snapshot *out) {
+                              struct rp_phase_snapshot *out) {
     static const char undetermined[] = {UNDETERMINED_MARK, FIELD_MARK, '\0'};
     char id[RP_ID_MAX];
     unsigned long long difference;
@@ -240,8 +239,8 @@
     return text;
 }
 
-bool rp_activity_codec_read_record(const json_t *record, size_t n_records,
-                                   struct rp_activity_snapshot *out, struct timespec *as_of) {
+bool rp_phase_codec_read_record(const json_t *record, size_t n_records,
+                                struct rp_phase_snapshot *out, struct timespec *as_of) {
     const char *text = json_string_value(json_object_get(record, "jobs"));
     json_int_t n_written = json_integer_value(json_object_get(record, "records"));
     unsigned long long last = 0;
--- a/src/store/keys.h
+++ b/src/store/keys.h
@@ -35,9 +35,9 @@
 #define RP_KEY_ACTIVATION RP_KEY_ROOT "format"
 /** Key of the machine types, which are read when the cloud does not respond. */
 #define RP_KEY_CATALOG RP_KEY_ROOT "catalog"
-/** Prefix of the records of the jobs' activity, which nodes read that cannot reach the leader, by
+/** Prefix of the records of the jobs' phases, which nodes read that cannot reach the leader, by
  * number. They are attached to the leader's lease. */
-#define RP_KEY_ACTIVITY RP_KEY_ROOT "activity/"
+#define RP_KEY_PHASES RP_KEY_ROOT "phases/"
 /** Size in bytes of a buffer that can hold any key with its NUL. The store allows 200 bytes for a
  * key. */
 #define RP_KEY_MAX 200
--- a/tests/simulation/internal.h
+++ b/tests/simulation/internal.h
@@ -169,7 +169,7 @@
 void sim_check_done(struct sim *sim, const struct sim_job *job);
 /* Called when a worker's heartbeat arrives. */
 void sim_record_report(struct sim *sim, const struct sim_event *event);
-void sim_check_activity(struct sim *sim, const struct sim_event *answer, const char *phase);
+void sim_check_phase(struct sim *sim, const struct sim_event *answer, const char *phase);
 bool sim_has_node_of_old_sources(const struct sim *sim);
 void sim_check_invalid_request(struct sim *sim, const struct sim_event *event);
 void sim_check_step(struct sim *sim);
--- a/tests/simulation/rules.c
+++ b/tests/simulation/rules.c
@@ -140,7 +140,7 @@
  * although none has. A list of tasks is as old as its report (PROTOCOL, "Delayed messages"), and
  * nothing shows how long that was on its way. Nodes built from the sources of the previous version
  * break this rule, and what they tell the others makes those break it. */
-void sim_check_activity(struct sim *sim, const struct sim_event *answer, const char *phase) {
+void sim_check_phase(struct sim *sim, const struct sim_event *answer, const char *phase) {
     const struct sim_job *job = &sim->jobs[answer->index];
     double since = answer->sent_at - STATE_LAG_S - SIM_STEP_S;
     if (sim->now < job->late_report_at + STATE_LAG_S)
@@ -158,7 +158,7 @@
 
 /* Notes for each job whether a task of it runs. A task that saves, and one on a machine that hangs,
  * may be called running or not. */
-static void observe_activity(struct sim *sim) {
+static void observe_running_tasks(struct sim *sim) {
     bool is_running[SIM_JOBS] = {false};
     bool is_either[SIM_JOBS] = {false};
     for (int i = 0; i < sim->size.n_workers; i++) {
@@ -429,7 +429,7 @@
 }
 
 void sim_check_step(struct sim *sim) {
-    observe_activity(sim);
+    observe_running_tasks(sim);
     check_cancelled(sim);
     check_accepted_jobs(sim);
     if (sim->steps % REPLICA_CHECK_STEPS == 0)
--- a/tests/simulation/test_job_state.c
+++ b/tests/simulation/test_job_state.c
@@ -60,7 +60,7 @@
     forget_polls(sim);
     scenario_run(sim, 30);
     expect_answers(sim, CLOSE_TO_ALL);
-    assert_int_equal(scenario_leader(sim)->activity_report.n_published, 0);
+    assert_int_equal(scenario_leader(sim)->phase_report.n_published, 0);
     end(sim);
 }
 
@@ -74,7 +74,7 @@
         forget_polls(sim);
         scenario_run(sim, 40);
         expect_answers(sim, ANSWERED_MIN);
-        assert_at_most(scenario_leader(sim)->activity_report.n_published, 40 * RECORDS_PER_S);
+        assert_at_most(scenario_leader(sim)->phase_report.n_published, 40 * RECORDS_PER_S);
         end(sim);
     }
 }
--- a/tests/simulation/users.c
+++ b/tests/simulation/users.c
@@ -111,7 +111,7 @@
                  event->sent_at > job->terminal_reported_at)
             /* Responses may overtake one another: only requests sent after the report count. */
             sim_record_violation(sim, "went_back: %s is %s", job->spec.id, phase);
-        sim_check_activity(sim, event, phase);
+        sim_check_phase(sim, event, phase);
     }
     json_decref(body);
 }
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -4,11 +4,11 @@
 #include <gsl/gsl_rng.h>
 #include <inttypes.h>
 #include <math.h>
-#include "protocol/activity_codec.h"
 #include "protocol/codec.h"
 #include "protocol/job_codec.h"
 #include "protocol/json_text.h"
 #include "protocol/kv_codec.h"
+#include "protocol/phase_codec.h"
 #include "protocol/user_codec.h"
 #include "protocol/worker_codec.h"
 #include "store/records.h"
@@ -426,9 +426,9 @@
     assert_false(rp_key_part_read(RP_KEY_PART "j-1", job, &part));
 }
 
-/* The activity of jobs passes from the leader to other nodes in a message and, compressed, in
+/* The phases of jobs pass from the leader to other nodes in a message and, compressed, in
  * records. If these have no room for all jobs, those that are missing are undetermined. */
-static void activity_passes_in_both_forms(void **state) {
+static void phases_pass_in_both_forms(void **state) {
     static const struct rp_job_status jobs[] = {
         {.id = "j-000000", .phase = RP_JOB_UNDETERMINED, .done = 2, .age_s = 0.2},
         {.id = "j-000007", .phase = RP_JOB_RUNNING, .running = 36, .age_s = 0.0},
@@ -436,38 +436,38 @@
         {.id = "j-999999", .phase = RP_JOB_RUNNING, .done = 100000, .running = 1, .age_s = 1.4}};
     enum { N_JOBS = sizeof jobs / sizeof jobs[0], N_MAX = 4, ONE_JOB_BYTES = 96 + 16 };
     static const size_t max_bytes[] = {1024, ONE_JOB_BYTES};
-    const struct rp_activity_snapshot snapshot = {
+    const struct rp_phase_snapshot snapshot = {
         .jobs = (struct rp_job_status *)jobs, .n_jobs = N_JOBS, .is_complete = true};
-    struct rp_activity_snapshot read[3] = {{0}};
+    struct rp_phase_snapshot read[3] = {{0}};
     struct timespec as_of;
     json_t *records[N_MAX];
     (void)state;
-    char *text = rp_activity_codec_write("n1", &snapshot);
-    assert_true(rp_activity_codec_parse(text, strlen(text), &read[0]));
+    char *text = rp_phase_codec_write("n1", &snapshot);
+    assert_true(rp_phase_codec_parse(text, strlen(text), &read[0]));
     for (int i = 0; i < 2; i++) {
-        size_t n = rp_activity_codec_write_records(&snapshot, rp_ts(1790000000.5), max_bytes[i],
-                                                   records, N_MAX);
+        size_t n = rp_phase_codec_write_records(&snapshot, rp_ts(1790000000.5), max_bytes[i],
+                                                records, N_MAX);
         assert_int_equal(n, i == 0 ? 1 : N_JOBS);
         for (size_t k = 0; k < n; k++) {
-            assert_false(rp_activity_codec_read_record(records[k], n + 1, &read[2], &as_of));
-            rp_activity_snapshot_free(&read[2]);
-            assert_true(rp_activity_codec_read_record(records[k], n, &read[1], &as_of));
+            assert_false(rp_phase_codec_read_record(records[k], n + 1, &read[2], &as_of));
+            rp_phase_snapshot_free(&read[2]);
+            assert_true(rp_phase_codec_read_record(records[k], n, &read[1], &as_of));
             assert_true(rp_ts_cmp(as_of, rp_ts(1790000000.5)) == 0);
             json_decref(records[k]);
         }
-        rp_activity_snapshot_sort(&read[1]);
+        rp_phase_snapshot_sort(&read[1]);
         for (size_t k = 0; k < 2 * N_JOBS; k++) {
             struct rp_job_status found = {0};
             snprintf(found.id, sizeof found.id, "%s", jobs[k % N_JOBS].id);
-            rp_activity_snapshot_find(&read[k / N_JOBS], &found);
+            rp_phase_snapshot_find(&read[k / N_JOBS], &found);
             assert_int_equal(found.phase, jobs[k % N_JOBS].phase);
             assert_int_equal(found.done, jobs[k % N_JOBS].done);
             assert_int_equal(found.running, jobs[k % N_JOBS].running);
             assert_true(fabs(found.age_s - jobs[k % N_JOBS].age_s) < 0.11);
         }
-        rp_activity_snapshot_free(&read[1]);
+        rp_phase_snapshot_free(&read[1]);
     }
-    rp_activity_snapshot_free(&read[0]);
+    rp_phase_snapshot_free(&read[0]);
     free(text);
 }
 
@@ -475,43 +475,43 @@
 static void jobs_left_out_of_records_are_undetermined(void **state) {
     struct rp_job_status jobs[] = {{.id = "j-000001", .phase = RP_JOB_RUNNING, .running = 1},
                                    {.id = "j-000002", .phase = RP_JOB_RUNNING, .running = 1}};
-    const struct rp_activity_snapshot snapshot = {.jobs = jobs, .n_jobs = 2, .is_complete = true};
-    struct rp_activity_snapshot read = {0};
+    const struct rp_phase_snapshot snapshot = {.jobs = jobs, .n_jobs = 2, .is_complete = true};
+    struct rp_phase_snapshot read = {0};
     struct timespec as_of;
     json_t *record;
     (void)state;
     assert_int_equal(
-        rp_activity_codec_write_records(&snapshot, rp_ts(1790000000.5), 96 + 9, &record, 1), 1);
-    assert_true(rp_activity_codec_read_record(record, 1, &read, &as_of));
-    rp_activity_snapshot_find(&read, &jobs[0]);
-    rp_activity_snapshot_find(&read, &jobs[1]);
+        rp_phase_codec_write_records(&snapshot, rp_ts(1790000000.5), 96 + 9, &record, 1), 1);
+    assert_true(rp_phase_codec_read_record(record, 1, &read, &as_of));
+    rp_phase_snapshot_find(&read, &jobs[0]);
+    rp_phase_snapshot_find(&read, &jobs[1]);
     assert_int_equal(jobs[0].phase, RP_JOB_RUNNING);
     assert_int_equal(jobs[1].phase, RP_JOB_UNDETERMINED);
-    rp_activity_snapshot_free(&read);
+    rp_phase_snapshot_free(&read);
     json_decref(record);
 }
 
 /* A record that no leader has written is refused as a whole. */
-static void malformed_activity_is_refused(void **state) {
+static void malformed_phases_are_refused(void **state) {
     static const char *const lists[] = {"1", "1.",     "1.2",        "1.2.3.4",   "x y ",   "1.?.",
                                         "-", "1.2.3 ", "1.2.3.4.5 ", "1.-2.3.4 ", "1..3.4 "};
     (void)state;
     for (size_t i = 0; i < sizeof lists / sizeof lists[0]; i++) {
-        struct rp_activity_snapshot snapshot = {0};
+        struct rp_phase_snapshot snapshot = {0};
         struct timespec as_of;
         json_t *record = json_pack("{s:f,s:i,s:b,s:s}", "at", 1.0, "records", 1, "complete", 1,
                                    "jobs", lists[i]);
-        assert_false(rp_activity_codec_read_record(record, 1, &snapshot, &as_of));
-        rp_activity_snapshot_free(&snapshot);
+        assert_false(rp_phase_codec_read_record(record, 1, &snapshot, &as_of));
+        rp_phase_snapshot_free(&snapshot);
         json_decref(record);
     }
 }
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(activity_passes_in_both_forms),
+        cmocka_unit_test(phases_pass_in_both_forms),
         cmocka_unit_test(jobs_left_out_of_records_are_undetermined),
-        cmocka_unit_test(malformed_activity_is_refused),
+        cmocka_unit_test(malformed_phases_are_refused),
         cmocka_unit_test(valid_submission_reads_back_from_its_record),
         cmocka_unit_test(malformed_submission_is_rejected),
         cmocka_unit_test(heartbeat_is_decoded_or_rejected),
