simulation: writes of jobs, progress, leadership and formats are lost or late, too

Cause: the tests of interrupted writes lost or delayed all writes of machines, but only delayed those of jobs and progress, and left leadership and formats out.

--- a/src/controller/phase_report.h
+++ b/src/controller/phase_report.h
@@ -13,7 +13,7 @@
 #include "election/election.h"
 
 /** The path on the peers' port where the leader reports the phases. A query names the node that
- * polls, unless its last poll got no response in time; versions before 0.2.1 poll without one, and
+ * polls, unless its last poll got no response in time; earlier versions poll without one, and
  * answer 404 to a path with one. */
 #define RP_PATH_PHASES "/peer/summary"
 /** What follows the path, before the name of the node that polls. */
--- a/src/protocol/phase_codec.h
+++ b/src/protocol/phase_codec.h
@@ -23,8 +23,8 @@
 /** Frees the statuses and empties the snapshot. */
 void rp_phase_snapshot_free(struct rp_phase_snapshot *snapshot);
 
-/** The message of a leader to a node. Versions before 0.2.1 read the counts only, which are those
- * of the newest reports. The caller frees it. NULL when out of memory. */
+/** The message of a leader to a node. Earlier versions read the counts only. The caller frees it.
+ * NULL when out of memory. */
 char *rp_phase_codec_write(const char *node, const struct rp_phase_snapshot *snapshot);
 /** Reads such a message of any version. The caller frees the snapshot. */
 bool rp_phase_codec_parse(const char *text, size_t len, struct rp_phase_snapshot *out);
--- a/tests/simulation/test_interrupted_writes.c
+++ b/tests/simulation/test_interrupted_writes.c
@@ -123,9 +123,10 @@
     return has_happened;
 }
 
-/* Interrupts the writes below the prefix one after the other, and ends the leader at once, then in
- * further runs later, alone and together with the next leader. */
-static void interrupt_each_write(const char *prefix, enum sim_interruption_kind kind) {
+/* Interrupts the writes below the prefix, at least `n_writes_min`, one after the other, and ends
+ * the leader at once, then in further runs later, alone and together with the next leader. */
+static void interrupt_each_write(const char *prefix, enum sim_interruption_kind kind,
+                                 unsigned long n_writes_min) {
     struct interrupted_run run = {.prefix = prefix, .kind = kind, .repeats = true, .nth = 1};
     while (run_once(&run)) {
         run.leader_ends_after_s = LEADER_ENDS_LATER_S;
@@ -135,40 +136,58 @@
         run.leader_ends_after_s = run.next_ends_after_s = 0;
         run.nth++;
     }
-    assert_at_least(run.nth - 1, N_WRITES_MIN);
+    assert_at_least(run.nth - 1, n_writes_min);
 }
 
 /* A record of machines was split, and its second write came late: the next leader took a machine
  * with a task for one that boots, and started the task on another machine. */
 static void late_writes_of_machines_break_no_rule(void **state) {
     (void)state;
-    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_LATE);
+    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_LATE, N_WRITES_MIN);
 }
 
 /* The same facts, but the second write of a split is never carried out. */
 static void lost_writes_of_machines_break_no_rule(void **state) {
     (void)state;
-    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_LOST);
+    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_LOST, N_WRITES_MIN);
 }
 
 /* The same facts, but the leader does not learn that the second write was carried out. */
 static void unanswered_writes_of_machines_break_no_rule(void **state) {
     (void)state;
-    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_ANSWER_LOST);
+    interrupt_each_write(RP_KEY_PROVISION, SIM_WRITE_ANSWER_LOST, N_WRITES_MIN);
 }
 
 /* A job's record and its parts, its move to a terminal state, and the deletion of what belongs to
  * it. */
 static void late_writes_of_jobs_break_no_rule(void **state) {
     (void)state;
-    interrupt_each_write(RP_KEY_OPEN, SIM_WRITE_LATE);
-    interrupt_each_write(RP_KEY_PART, SIM_WRITE_LATE);
+    interrupt_each_write(RP_KEY_OPEN, SIM_WRITE_LATE, N_WRITES_MIN);
+    interrupt_each_write(RP_KEY_PART, SIM_WRITE_LATE, N_WRITES_MIN);
 }
 
 /* The progress of a job, which several records hold, and their deletion after the job's end. */
 static void late_writes_of_progress_break_no_rule(void **state) {
     (void)state;
-    interrupt_each_write(RP_KEY_PROGRESS, SIM_WRITE_LATE);
+    interrupt_each_write(RP_KEY_PROGRESS, SIM_WRITE_LATE, N_WRITES_MIN);
+}
+
+/* The same records, when a write is never carried out, or its answer is lost. */
+static void lost_writes_and_answers_of_jobs_break_no_rule(void **state) {
+    static const char *const prefixes[] = {RP_KEY_OPEN, RP_KEY_PART, RP_KEY_PROGRESS};
+    (void)state;
+    for (size_t i = 0; i < sizeof prefixes / sizeof prefixes[0]; i++) {
+        interrupt_each_write(prefixes[i], SIM_WRITE_LOST, N_WRITES_MIN);
+        interrupt_each_write(prefixes[i], SIM_WRITE_ANSWER_LOST, N_WRITES_MIN);
+    }
+}
+
+/* The leader's key, the announcements of formats and their activation. */
+static void late_writes_of_leadership_and_formats_break_no_rule(void **state) {
+    (void)state;
+    interrupt_each_write(RP_KEY_LEADER, SIM_WRITE_LATE, 1);
+    interrupt_each_write(RP_KEY_ANNOUNCEMENT, SIM_WRITE_LATE, N_WRITES_MIN);
+    interrupt_each_write(RP_KEY_ACTIVATION, SIM_WRITE_LATE, 1);
 }
 
 /* Advances the simulation, and ends the leader up to LEADER_ENDS_LATER_S after the interrupted
@@ -221,6 +240,8 @@
         cmocka_unit_test(unanswered_writes_of_machines_break_no_rule),
         cmocka_unit_test(late_writes_of_jobs_break_no_rule),
         cmocka_unit_test(late_writes_of_progress_break_no_rule),
+        cmocka_unit_test(lost_writes_and_answers_of_jobs_break_no_rule),
+        cmocka_unit_test(late_writes_of_leadership_and_formats_break_no_rule),
         cmocka_unit_test(split_records_under_random_faults_break_no_rule)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     choose_test(argc, argv);
