--- a/tests/simulation/internal.h
+++ b/tests/simulation/internal.h
@@ -167,6 +167,9 @@
 void sim_record_start_command(struct sim *sim, const struct sim_job *job);
 void sim_check_lease_renewal(struct sim *sim, const struct sim_worker *worker);
 void sim_check_done(struct sim *sim, const struct sim_job *job);
+/* Called when a user polls a node, and when a response with the job's state has arrived in time. */
+void sim_record_poll(struct sim *sim, struct sim_job *job, int node);
+void sim_record_poll_answer(struct sim_job *job, int node);
 /* Called when a worker's heartbeat arrives. */
 void sim_record_report(struct sim *sim, const struct sim_event *event);
 void sim_check_phase(struct sim *sim, const struct sim_event *answer, const char *phase);
--- a/tests/simulation/rules.c
+++ b/tests/simulation/rules.c
@@ -18,10 +18,19 @@
 /* Seconds on its way up to which a worker's report counts as on time. */
 #define REPORT_ON_TIME_S 0.35
 
+/* Longest time in seconds for which no poll for a job is answered, at any time, while most polls
+ * for other jobs are (PROTOCOL, "Rules"). */
+#define ANSWERED_WITH_OTHERS_S 90.0
+/* Least share of the polls for other jobs that counts as most of them. */
+#define MOST_POLLS 0.5
+
 /* The following bounds are in seconds and apply once the faults have ended. */
 
-/* Longest time without a response that contains a job's state; beyond it, the job is lost. */
+/* Longest time for which no poll for a job is answered, and for which no poll at one node is. */
 #define ANSWERED_WITHIN_S 75.0
+/* Least number of polls at one node from which that node can be judged: those of a user who polls
+ * only this node, every 5 s (PROTOCOL). */
+#define NODE_POLLS_MIN 15
 /* Longest time until a job starts, from its acceptance or the end of the faults. */
 #define STARTED_WITHIN_S 240.0
 /* Longest time for which a job may wait while there is capacity for it. */
@@ -195,22 +204,73 @@
     }
 }
 
-/* Rules that the users added; they apply once the faults have ended, to accepted jobs that are
- * neither cancelled nor reported as done. forgotten: no response has contained the job's
- * state for ANSWERED_WITHIN_S seconds. not_started: no task of the job has started
+/* ---- polls ---- */
+
+static void record_unanswered(const struct sim *sim, struct sim_unanswered_polls *polls) {
+    if (polls->n++ == 0)
+        *polls = (struct sim_unanswered_polls){.n = 1,
+                                               .since = sim->now,
+                                               .n_polls_before = sim->n_polls,
+                                               .n_polls_answered_before = sim->n_polls_answered};
+}
+
+void sim_record_poll(struct sim *sim, struct sim_job *job, int node) {
+    record_unanswered(sim, &job->unanswered);
+    record_unanswered(sim, &job->unanswered_at[node]);
+}
+
+void sim_record_poll_answer(struct sim_job *job, int node) {
+    job->unanswered.n = job->unanswered_at[node].n = 0;
+}
+
+/* For how long no poll has been answered, counted from `from` at the earliest. */
+static double unanswered_s(const struct sim *sim, const struct sim_unanswered_polls *polls,
+                           double from) {
+    return polls->n > 0 ? sim->now - fmax(polls->since, from) : 0;
+}
+
+/* Whether most polls for other jobs have been answered since these ones have not. */
+static bool are_others_answered(const struct sim *sim, const struct sim_unanswered_polls *polls) {
+    unsigned long n_polls = sim->n_polls - polls->n_polls_before - polls->n;
+    unsigned long n_answered = sim->n_polls_answered - polls->n_polls_answered_before;
+    return (double)n_answered > MOST_POLLS * (double)n_polls;
+}
+
+/* forgotten: polls for an accepted job are not answered with its state, whatever else they get. At
+ * any time: at no node for ANSWERED_WITH_OTHERS_S seconds, while most polls for other jobs are
+ * answered. Once the faults have ended: at no node, or at one node that runs, for
+ * ANSWERED_WITHIN_S seconds. */
+static void check_polls(struct sim *sim, const struct sim_job *job) {
+    const struct sim_unanswered_polls *polls = &job->unanswered;
+    if (unanswered_s(sim, polls, 0) > ANSWERED_WITH_OTHERS_S && are_others_answered(sim, polls))
+        sim_record_violation(sim, "forgotten: %s, no response with its state for %.0f s",
+                             job->spec.id, ANSWERED_WITH_OTHERS_S);
+    if (sim->faults_ended_at <= 0)
+        return;
+    if (unanswered_s(sim, polls, sim->faults_ended_at) > ANSWERED_WITHIN_S)
+        sim_record_violation(sim, "forgotten: %s, no response with its state for %.0f s",
+                             job->spec.id, ANSWERED_WITHIN_S);
+    for (int i = 0; i < sim->n_nodes; i++) {
+        const struct sim_unanswered_polls *at_node = &job->unanswered_at[i];
+        if (at_node->n >= NODE_POLLS_MIN &&
+            unanswered_s(sim, at_node, sim->faults_ended_at) > ANSWERED_WITHIN_S)
+            sim_record_violation(sim, "forgotten: %s, no response with its state by n%d for %.0f s",
+                                 job->spec.id, i, ANSWERED_WITHIN_S);
+    }
+}
+
+/* Rules about accepted jobs that are neither cancelled nor reported as done. forgotten: see
+ * check_polls. not_started, once the faults have ended: no task of the job has started
  * STARTED_WITHIN_S seconds after its acceptance or, if that was earlier, after the end of the
  * faults. */
 static void check_accepted_jobs(struct sim *sim) {
-    for (int i = 0; sim->faults_ended_at > 0 && i < sim->n_jobs; i++) {
+    for (int i = 0; i < sim->n_jobs; i++) {
         const struct sim_job *job = &sim->jobs[i];
         if (!job->accepted || job->cancel_requested || job->reported_done)
             continue;
-        double last_response_at = fmax(job->answered_at, sim->faults_ended_at);
+        check_polls(sim, job);
         double since = fmax(job->accepted_at, sim->faults_ended_at);
-        if (sim->now > last_response_at + ANSWERED_WITHIN_S)
-            sim_record_violation(sim, "forgotten: %s, no response with its state for %.0f s",
-                                 job->spec.id, ANSWERED_WITHIN_S);
-        if (!job->has_started && sim->now > since + STARTED_WITHIN_S)
+        if (sim->faults_ended_at > 0 && !job->has_started && sim->now > since + STARTED_WITHIN_S)
             sim_record_violation(sim, "not_started: %s of %u tasks", job->spec.id,
                                  job->spec.n_tasks);
     }
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -14,9 +14,9 @@
 #define SIM_NODES_MAX 5
 #define SIM_WORKERS 4200
 #define SIM_TASKS 1024 /* task attempts on one machine, exited ones included */
-#define SIM_JOBS 640
+#define SIM_JOBS 2400
 #define SIM_JOB_TASKS 1024 /* tasks of one job */
-#define SIM_KEYS 4096
+#define SIM_KEYS 16384
 #define SIM_EVENTS 16384
 #define SIM_LEASES 64
 
@@ -94,6 +94,7 @@
     SIM_WORKERS_IGNORE_STOPS,           /* cancelled tasks keep running */
     SIM_DUPLICATES_GET_NEW_INCARNATION, /* copies of heartbeats carry the next incarnation */
     SIM_POLLS_ARE_DROPPED,              /* no poll of the first job gets a response */
+    SIM_POLLS_AT_NODE_ARE_DROPPED,      /* the same only at the second node */
     SIM_LARGE_JOBS_NEVER_START,         /* tasks of the largest jobs never finish the image fetch */
     SIM_REPLICAS_NEVER_START,           /* services' tasks never finish the image fetch */
     SIM_INVALID_IS_ACCEPTED,    /* submissions that cannot run or lack a field are accepted */
@@ -199,16 +200,27 @@
     double exited_at; /* when a task last exited and no task has started since; 0: none */
 };
 
+/* Polls for one job that got no response with its state. */
+struct sim_unanswered_polls {
+    unsigned long n; /* 0: the last poll got such a response */
+    double since;    /* when the first of them was sent */
+    /* The polls for all jobs that had been sent, and that had been answered, by then. */
+    unsigned long n_polls_before, n_polls_answered_before;
+};
+
 struct sim_job {
     bool used;
     struct rp_job_spec spec;
     char *body;
     bool accepted, reported_done, reported_cancelled, cancel_requested, has_started;
-    double answered_at;                   /* when a response last contained the job's state */
     double last_running_at, last_idle_at; /* when a task of the job last ran, and when none did */
     /* When the newest heartbeat of a machine with the job's tasks last arrived late, and how late.
      */
     double late_report_at, late_report_s;
+    /* The polls without a response since the last one with the job's state, at any node and at each
+     * node. */
+    struct sim_unanswered_polls unanswered, unanswered_at[SIM_NODES_MAX];
+    double fetch_s; /* time in which each machine fetches the image; 0: 0.5 to 1.5 s */
     double cancelled_at, terminal_reported_at, accepted_at, next_poll_at, submit_at, cancel_at;
     bool *done; /* for each task; this and the arrays below have SIM_JOB_TASKS elements */
     bool fails_always;
--- a/tests/simulation/tasks.c
+++ b/tests/simulation/tasks.c
@@ -108,7 +108,7 @@
     else if (!fits)
         exit_task(worker, task, "no_room", sim->now);
     else
-        task->ready_at = sim->now + 0.5 + sim_uniform(sim);
+        task->ready_at = sim->now + (job->fetch_s > 0 ? job->fetch_s : 0.5 + sim_uniform(sim));
     if (sim->breakage == SIM_REPLICAS_NEVER_START && job->spec.kind == RP_JOB_SERVICE)
         task->ready_at = SIM_NEVER;
     if (sim->breakage == SIM_LARGE_JOBS_NEVER_START && job->spec.n_tasks >= SIM_LARGE_JOB_TASKS)
--- a/tests/simulation/users.c
+++ b/tests/simulation/users.c
@@ -9,6 +9,9 @@
 #include "protocol/codec.h"
 #include "protocol/job_codec.h"
 
+/* Seconds for which a user waits for the response to a poll (PROTOCOL). */
+#define POLL_TIMEOUT_S 2.0
+
 void sim_send_for_user(struct sim *sim, int job, enum sim_user_op operation, int node) {
     static const char *const path_suffixes[] = {"", "", "/cancel"};
     char target[128];
@@ -91,7 +94,9 @@
  * in an earlier phase by a response to a request sent after that report. */
 void sim_user_on_answer(struct sim *sim, const struct sim_event *event) {
     struct sim_job *job = &sim->jobs[event->index];
-    if (sim->breakage == SIM_POLLS_ARE_DROPPED && event->index == 0 && job->accepted)
+    bool is_dropped = sim->breakage == SIM_POLLS_ARE_DROPPED ||
+                      (sim->breakage == SIM_POLLS_AT_NODE_ARE_DROPPED && event->node == 1);
+    if (is_dropped && event->index == 0 && job->accepted)
         return;
     bool is_refused = event->status == 404 || event->status == 400 || event->status == 422;
     if (is_refused && job->accepted)
@@ -99,9 +104,11 @@
     json_t *body = json_loads(event->body, 0, NULL);
     const char *phase = phase_seen_by_user(sim, job, body);
     if (phase) {
-        sim->n_polls_answered += event->user_op == USER_POLLS;
-        sim->n_polls_answered_at[event->node] += event->user_op == USER_POLLS;
-        job->answered_at = sim->now;
+        if (event->user_op == USER_POLLS && sim->now <= event->sent_at + POLL_TIMEOUT_S) {
+            sim->n_polls_answered++;
+            sim->n_polls_answered_at[event->node]++;
+            sim_record_poll_answer(job, event->node);
+        }
         record_acceptance(sim, event->index);
         if (strcmp(phase, "done") == 0)
             record_done(sim, event->index);
@@ -117,6 +124,7 @@
 }
 
 static void poll_node(struct sim *sim, int job, int node) {
+    sim_record_poll(sim, &sim->jobs[job], node);
     sim->n_polls++;
     sim->n_polls_at[node]++;
     sim_send_for_user(sim, job, USER_POLLS, node);
