--- a/src/api/status.c
+++ b/src/api/status.c
@@ -45,21 +45,26 @@
 
 static void set_node_counters(json_t *object, const struct rp_status_sources *sources) {
     const struct rp_worker_counters *worker_counters = &sources->workers->context.counters;
-    const struct counter counters[] = {{"nodes_known", sources->upgrade->n_nodes_announced},
-                                       {"state_too_fast", sources->store->n_rate_limited},
-                                       {"state_too_large", sources->store->n_rejected},
-                                       {"state_shed", sources->store->n_shed},
-                                       {"unreadable", sources->jobs->record_reader.n_unreadable},
-                                       {"rounds", sources->scheduler->n_cycles},
-                                       {"starts", worker_counters->n_starts},
-                                       {"preempted", sources->scheduler->n_preempted},
-                                       {"rented", sources->fleet->provisioning.n_provisioned},
-                                       {"refused", sources->fleet->provisioning.refusals.n_refused},
-                                       {"returned", sources->fleet->release.n_released},
-                                       {"accepted", sources->api->n_accepted},
-                                       {"undetermined", sources->api->n_undetermined},
-                                       {"stale_reports", worker_counters->n_stale_heartbeats},
-                                       {"over_bounds", n_over_bounds(sources)}};
+    const struct counter counters[] = {
+        {"nodes_known", sources->upgrade->n_nodes_announced},
+        {"state_too_fast", sources->store->n_rate_limited},
+        {"state_too_large", sources->store->n_rejected},
+        {"state_shed", sources->store->n_shed},
+        {"unreadable", sources->jobs->record_reader.n_unreadable},
+        {"rounds", sources->scheduler->n_cycles},
+        {"starts", worker_counters->n_starts},
+        {"preempted", sources->scheduler->n_preempted},
+        {"rented", sources->fleet->provisioning.n_provisioned},
+        {"refused", sources->fleet->provisioning.refusals.n_refused},
+        {"returned", sources->fleet->release.n_released},
+        {"accepted", sources->api->n_accepted},
+        {"undetermined", sources->api->n_undetermined},
+        {"undetermined_jobs", sources->cluster->n_phase_gaps},
+        {"undetermined_longest_s", (unsigned long)sources->cluster->longest_phase_gap_s},
+        {"phase_probes", sources->phase_probes->n_sent},
+        {"rule_violations", sources->api->n_rule_violations},
+        {"stale_reports", worker_counters->n_stale_heartbeats},
+        {"over_bounds", n_over_bounds(sources)}};
     set_counters(object, counters, N_OF(counters));
 }
 
--- a/src/api/status.h
+++ b/src/api/status.h
@@ -10,6 +10,7 @@
 #include "api/user_api.h"
 #include "scheduler/scheduler.h"
 #include "standby/standby.h"
+#include "worker/phase_probes.h"
 
 /** The parts of a node from which the status is read. */
 struct rp_status_sources {
@@ -25,6 +26,7 @@
     const struct rp_cluster *cluster;
     const struct rp_fleet *fleet;
     const struct rp_workers *workers;
+    const struct rp_phase_probes *phase_probes;
     const struct rp_services *services;
     const struct rp_scheduler *scheduler;
     const struct rp_standby *standby;
--- a/src/api/user_api.c
+++ b/src/api/user_api.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/string_copy.h"
+#include "cluster/job_phase.h"
 #include "protocol/codec.h"
 #include "protocol/job_codec.h"
 #include "protocol/kv_codec.h"
@@ -110,6 +111,16 @@
     respond(request, status, rp_user_codec_write_job_status(&job), NO_RETRY_AFTER);
 }
 
+/* Counts and logs a response that would break a rule of PROTOCOL. It is not sent; the user repeats
+ * the request. */
+static void respond_instead_of_violation(struct user_request *request, const char *rule,
+                                         double age_s) {
+    request->api->n_rule_violations++;
+    rp_error("response withheld, it would break a rule: rule=%s job=%s age_s=%.1f", rule,
+             request->id, age_s);
+    respond_unavailable(request);
+}
+
 /* Responds to a request about an open job with its phase. While that is undetermined, the request
  * waits for as long as its user does; then the user is told nothing rather than a guess. */
 static void respond_open_job(struct user_request *request) {
@@ -117,12 +128,16 @@
     struct rp_job_status job = {0};
     rp_string_copy(job.id, sizeof job.id, request->id);
     api->read_phase(api->arg, &job);
-    if (job.phase != RP_JOB_UNDETERMINED) {
+    if (job.phase != RP_JOB_UNDETERMINED && job.age_s > RP_JOB_PHASE_AGE_MAX_S) {
+        respond_instead_of_violation(request, "state", job.age_s);
+    } else if (job.phase != RP_JOB_UNDETERMINED) {
         respond(request, RP_RESPONSE_OK, rp_user_codec_write_job_status(&job), NO_RETRY_AFTER);
     } else if (has_time_to_wait(request)) {
         set_state(request, REQUEST_AWAITING_PHASE);
     } else {
         api->n_undetermined++;
+        rp_debug("query refused, state of the job unknown: job=%s waited_s=%.1f", request->id,
+                 rp_ts_since(rp_loop_now(api->loop), request->received_at));
         respond_unavailable(request);
     }
 }
@@ -158,6 +173,12 @@
     return true;
 }
 
+/* Whether this node leads and has the job in its table as one that has not ended. */
+static bool is_led_here(const struct user_request *request) {
+    const struct rp_job *job = rp_jobs_find(request->api->cluster->jobs, request->id);
+    return job && job->state == RP_JOB_OPEN;
+}
+
 /* ---- events ---- */
 
 static void on_job_not_found(struct user_request *request) {
@@ -166,6 +187,8 @@
          * only some of the failed conditions, accepted jobs would be reported as unknown. */
         request->is_absence_from_lookup = false;
         set_state(request, REQUEST_READING_OPEN);
+    } else if (is_led_here(request)) {
+        respond_instead_of_violation(request, "forgotten", 0);
     } else if (request->kind != REQUEST_SUBMIT) {
         respond(request, RP_RESPONSE_NOT_FOUND, rp_codec_write_error("no such job"),
                 NO_RETRY_AFTER);
--- a/src/api/user_api.h
+++ b/src/api/user_api.h
@@ -23,7 +23,8 @@
     struct rp_kv_client *store;
     struct rp_upgrade *upgrade;
     const struct rp_catalog_source *catalog_source;
-    const struct rp_cluster *cluster; /* used only to check what its catalog allows */
+    /* Used only to check what its catalog allows, and that no job of its table is unknown. */
+    const struct rp_cluster *cluster;
     struct rp_job_lookup *job_lookup;
     struct rp_terminal_states *terminal_states;
     struct rp_metrics *metrics;
@@ -31,8 +32,9 @@
      * node has no proof whether a task is running, and the caller asks again a little later. */
     void (*read_phase)(void *arg, struct rp_job_status *status);
     void *arg;
-    unsigned long n_accepted;     /* submissions that this node has written to the store */
-    unsigned long n_undetermined; /* requests refused because the job's phase was undetermined */
+    unsigned long n_accepted;        /* submissions that this node has written to the store */
+    unsigned long n_undetermined;    /* requests refused because the job's phase was undetermined */
+    unsigned long n_rule_violations; /* responses withheld because they would break a rule */
 };
 
 /** Submits the job in the request's body. Answers `req` exactly once, now or later: 201 once the
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -40,6 +40,9 @@
     cluster->attempt_base = (token & ((UINT64_C(1) << TOKEN_BITS) - 1)) << COUNT_BITS;
     cluster->attempt_next = 0;
     cluster->n_failed_direct_starts = 0;
+    cluster->phases_surveyed_at = (struct timespec){0};
+    cluster->n_phase_gaps = 0;
+    cluster->longest_phase_gap_s = 0;
 }
 
 void rp_cluster_free(struct rp_cluster *cluster) {
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -31,7 +31,9 @@
     /* Number of machines that hold unknown tasks (unknown_tasks.h) that have not exited. */
     size_t n_machines_with_unknown_tasks;
     struct timespec phases_surveyed_at; /* newest survey (job_phase.h); zero: none */
-    double *team_cpus, *team_gpus;      /* resources of each team's counted allocations */
+    size_t n_phase_gaps;                /* jobs whose phase the newest survey did not show */
+    double longest_phase_gap_s;
+    double *team_cpus, *team_gpus; /* resources of each team's counted allocations */
     uint64_t fencing_token;
     uint64_t attempt_base, attempt_next;
     unsigned n_failed_direct_starts; /* replicas that were started directly and failed, in the term;
--- a/src/controller/node.c
+++ b/src/controller/node.c
@@ -1,5 +1,6 @@
 #include "controller/node.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include "base/log.h"
 
@@ -64,6 +65,7 @@
 /* ---- the state machine ---- */
 
 static void stop_scheduling(struct rp_node *node) {
+    rp_phase_probes_stop(&node->phase_probes);
     rp_scheduler_stop(&node->scheduler);
     rp_service_controller_stop(&node->services);
 }
@@ -84,16 +86,19 @@
     rp_fleet_clear(&node->fleet);
     rp_cluster_reset(&node->cluster, node->election.fencing_token);
     rp_standby_on_elected(&node->standby);
+    node->recovery_began_at = rp_loop_now(node->loop);
     rp_jobs_load(&node->jobs);
 }
 
 static void enter_leading(struct rp_node *node) {
-    rp_info("records read, node leads: n_jobs=%zu n_machines=%zu", node->jobs.table.n_jobs,
-            node->cluster.n_machines);
+    rp_info("records read, node leads: n_jobs=%zu n_machines=%zu revision=%" PRIu64 " read_s=%.2f",
+            node->jobs.table.n_jobs, node->cluster.n_machines, node->jobs.watch.revision,
+            rp_ts_since(rp_loop_now(node->loop), node->recovery_began_at));
     rp_image_index_restore(&node->image_index);
     rp_standby_on_leading(&node->standby);
     rp_catalog_source_store(&node->catalog_source);
     rp_service_controller_start(&node->services);
+    rp_phase_probes_start(&node->phase_probes);
     rp_scheduler_start(&node->scheduler);
 }
 
@@ -242,6 +247,7 @@
                                               .on_capacity_freed = on_capacity_freed,
                                               .arg = node};
     rp_workers_init(&node->workers, &context);
+    rp_phase_probes_init(&node->phase_probes, &node->workers.context);
     rp_standby_init(&node->standby, node->loop, node->net, &node->election, &node->cluster,
                     &node->workers, settings);
     return 0;
--- a/src/controller/node.h
+++ b/src/controller/node.h
@@ -34,6 +34,7 @@
 #include "standby/standby.h"
 #include "store/kv_client.h"
 #include "upgrade/format_upgrade.h"
+#include "worker/phase_probes.h"
 #include "worker/workers.h"
 
 /** A node with all of its parts. They refer to each other, so the node must not be moved in memory.
@@ -46,6 +47,7 @@
     bool has_joined_elections;
     bool is_shutting_down; /* the process is about to end */
     struct rp_timer recovery_timer;
+    struct timespec recovery_began_at; /* when the node last began to read the records */
 
     /* Clients. */
     struct rp_kv_client store;
@@ -64,6 +66,7 @@
     /* Workers, and the standby, which follows another node while that one leads. */
     struct rp_metrics metrics;
     struct rp_workers workers;
+    struct rp_phase_probes phase_probes;
     struct rp_standby standby;
     /* Scheduling. */
     struct rp_services services;
--- a/src/controller/node_requests.c
+++ b/src/controller/node_requests.c
@@ -60,6 +60,7 @@
                                               .cluster = &node->cluster,
                                               .fleet = &node->fleet,
                                               .workers = &node->workers,
+                                              .phase_probes = &node->phase_probes,
                                               .services = &node->services,
                                               .scheduler = &node->scheduler,
                                               .standby = &node->standby,
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -37,6 +37,23 @@
                                       run; the survey's instant if there is no such task */
     uint32_t n_running;
     bool has_unknown; /* a task may be on a machine whose messages do not describe it */
+    bool has_silent;  /* a started task that does not run is on a machine whose heartbeat is late */
+};
+
+/** Why the leader has no recent proof of a job's phase (cluster/job_phase.h). */
+enum rp_phase_gap_cause {
+    RP_PHASE_GAP_NONE,           /* the phase is known */
+    RP_PHASE_GAP_UNRECONCILED,   /* a task of an earlier leader may be on an unreconciled machine */
+    RP_PHASE_GAP_SILENT_MACHINE, /* a machine with a started task does not report */
+    RP_PHASE_GAP_OLD_HEARTBEATS  /* all machines report, but not within the age of one proof */
+};
+
+/** The time for which a job's phase has not been known, as the surveys found it. */
+struct rp_phase_gap {
+    enum rp_phase_gap_cause cause;
+    struct timespec since;  /* zero: the phase is known */
+    struct timespec logged; /* when a line was last logged about the gap; zero: never */
+    bool needs_probes;      /* heartbeats alone do not prove the phase for long */
 };
 
 /** A job. Members without a comment are counts or flags that their names explain. */
@@ -52,6 +69,7 @@
     int team; /* index of the job's team in the settings */
     uint32_t n_done, n_running;
     struct rp_job_survey survey;
+    struct rp_phase_gap phase_gap;
     struct timespec stopped_running_at; /* when a task was last found to have stopped running */
     uint32_t n_allocated;               /* allocations whose task may be on a machine */
     uint32_t n_allocations; /* allocations, also of ended tasks that workers still list */
--- a/src/worker/direct_call.c
+++ b/src/worker/direct_call.c
@@ -8,7 +8,8 @@
                                         const struct rp_machine *machine) {
     struct rp_direct_call call = {.context = context,
                                   .fencing_token = context->election->fencing_token,
-                                  .incarnation = machine->contact.incarnation};
+                                  .incarnation = machine->contact.incarnation,
+                                  .sent_at = rp_loop_now(context->loop)};
     rp_string_copy(call.machine, sizeof call.machine, machine->name);
     return call;
 }
--- a/src/worker/direct_call.h
+++ b/src/worker/direct_call.h
@@ -13,6 +13,7 @@
     struct rp_worker_context *context;
     uint64_t fencing_token;
     uint64_t incarnation;
+    struct timespec sent_at;
     char machine[RP_TEXT_MAX];
 };
 
--- a/src/worker/direct_commands.c
+++ b/src/worker/direct_commands.c
@@ -73,7 +73,7 @@
     if (outcome == RP_DIRECT_EXECUTED || outcome == RP_DIRECT_REFUSED) {
         if (heartbeat.fencing_token > context->election->fencing_token)
             rp_election_verify(context->election);
-        rp_heartbeat_read_response(context, machine, &heartbeat);
+        rp_heartbeat_read_response(context, machine, &heartbeat, rp_loop_now(context->loop));
     } else {
         context->counters.n_direct_unanswered++;
     }
--- a/src/worker/heartbeat_reader.c
+++ b/src/worker/heartbeat_reader.c
@@ -154,7 +154,8 @@
 }
 
 void rp_heartbeat_read_response(struct rp_worker_context *context, struct rp_machine *machine,
-                                const struct rp_heartbeat *heartbeat) {
+                                const struct rp_heartbeat *heartbeat,
+                                struct timespec described_at) {
     machine->contact.last_message_at = rp_loop_now(context->loop);
     if (heartbeat->incarnation != machine->contact.incarnation ||
         heartbeat->seq <= machine->contact.seq)
@@ -164,7 +165,8 @@
     for (size_t i = 0; i < heartbeat->n_tasks; i++)
         if (rp_task_reader_find_allocation(context, machine, &heartbeat->tasks[i]))
             rp_task_reader_read(context, machine, &heartbeat->tasks[i]);
-    machine->contact.described_at = rp_loop_now(context->loop);
+    if (rp_ts_cmp(described_at, machine->contact.described_at) > 0)
+        machine->contact.described_at = described_at;
 }
 
 void rp_heartbeat_read_results(struct rp_worker_context *context, const struct rp_machine *machine,
--- a/src/worker/heartbeat_reader.h
+++ b/src/worker/heartbeat_reader.h
@@ -16,9 +16,10 @@
 void rp_heartbeat_read(struct rp_worker_context *context, struct rp_machine *machine,
                        const struct rp_heartbeat *heartbeat);
 /** Reads the list of tasks in the response to a direct command or probe, unless a newer message has
- * been read. Nothing is concluded from tasks that it does not list, and no lease is renewed. */
+ * been read. Nothing is concluded from tasks that it does not list, and no lease is renewed. The
+ * tasks are described as of `described_at`, or as of a newer message. */
 void rp_heartbeat_read_response(struct rp_worker_context *context, struct rp_machine *machine,
-                                const struct rp_heartbeat *heartbeat);
+                                const struct rp_heartbeat *heartbeat, struct timespec described_at);
 /** Reads only the results of a heartbeat from an incarnation that may have ended. A heartbeat that
  * a partition delayed may list tasks that now run on other machines, but a task that was done
  * remains done. */
--- a/src/worker/probes.c
+++ b/src/worker/probes.c
@@ -19,7 +19,7 @@
     machine->contact.probing = false;
     machine->contact.n_probes_failed = answered ? 0 : machine->contact.n_probes_failed + 1;
     if (answered)
-        rp_heartbeat_read_response(call->context, machine, &heartbeat);
+        rp_heartbeat_read_response(call->context, machine, &heartbeat, call->sent_at);
     rp_heartbeat_free(&heartbeat);
 out:
     free(call);
--- a/tests/simulation/rules.c
+++ b/tests/simulation/rules.c
@@ -488,7 +488,16 @@
     free(survey);
 }
 
+/* withheld: a node was about to send a response that breaks a rule; it counts such responses. */
+static void check_withheld(struct sim *sim) {
+    for (int i = 0; i < sim->n_nodes; i++)
+        if (sim->nodes[i].alive && sim->nodes[i].node &&
+            sim->nodes[i].node->api.n_rule_violations > 0)
+            sim_record_violation(sim, "withheld: a response of n%d would break a rule", i);
+}
+
 void sim_check_step(struct sim *sim) {
+    check_withheld(sim);
     observe_running_tasks(sim);
     check_cancelled(sim);
     check_accepted_jobs(sim);
--- a/tests/simulation/test_forgotten_jobs.c
+++ b/tests/simulation/test_forgotten_jobs.c
@@ -50,6 +50,50 @@
     sim_free(sim);
 }
 
+/* The same with sizes drawn from the seed: the fleets of the deployments and half as many machines
+ * again, three or five nodes, reports 3 or 4 s apart, and jobs of 6 to 200 machines. A leader ends
+ * while the images are fetched. */
+static void wide_jobs_are_answered_on_fleets_of_many_sizes(void **state) {
+    static const struct sim_size sizes[] = {{857, 107, 4, 22, 47, 800, 80, 10},
+                                            {734, 92, 3, 17.5, 47.5, 300, 50, 8},
+                                            {1286, 161, 4, 22, 47, 800, 80, 10},
+                                            {1101, 138, 4, 17.5, 47.5, 300, 50, 8}};
+    (void)state;
+    for (unsigned long seed = 8810; seed < 8814; seed++) {
+        struct sim *sim = sim_new_sized(seed, &scenario_no_faults, SIM_NO_BREAKAGE,
+                                        seed % 2 ? 3 : 5, &sizes[seed % 4]);
+        scenario_remove_team_limit(sim);
+        scenario_submit_arrays(sim, 20, 1, 0.1, 40, 1, LONG_RUN_S);
+        for (int i = 0; i < 8; i++)
+            submit_wide_job(sim, 2 + i, i % 3 ? "sweep" : "ensemble",
+                            6 + (unsigned)gsl_rng_uniform_int(sim->rng, i % 3 ? 194 : 20),
+                            FETCH_S + i);
+        sim_run(sim, SETTLED_S);
+        scenario_crash_leader(sim, 3);
+        sim_run(sim, 10);
+        sim_end_faults(sim);
+        sim->has_polls_at_all_nodes = true;
+        sim_run(sim, JUDGED_S);
+        scenario_expect_no_violation(sim, seed);
+        sim_free(sim);
+    }
+}
+
+/* The same with 4,000 machines, of which one job holds every fourth. */
+static void wide_job_is_answered_on_4000_machines(void **state) {
+    static const struct sim_size users_fleet = {4200, 500, 4, 22, 47, 2400, 240, 30};
+    (void)state;
+    struct sim *sim =
+        sim_new_sized(8805, &scenario_no_faults, SIM_NO_BREAKAGE, N_NODES, &users_fleet);
+    scenario_remove_team_limit(sim);
+    scenario_submit_arrays(sim, 200, 1, 0.02, 40, 4, LONG_RUN_S);
+    submit_wide_job(sim, 2, "sweep", 1000, FETCH_S);
+    scenario_run(sim, SETTLED_S);
+    sim_end_faults(sim);
+    scenario_run(sim, JUDGED_S);
+    sim_free(sim);
+}
+
 /* A quarter of the machines is out of reach from SETTLED_S on, and every leader ends after
  * TERM_S. */
 #define SILENT_S 140.0
@@ -99,6 +143,8 @@
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(wide_jobs_are_answered_while_images_are_fetched),
+        cmocka_unit_test(wide_jobs_are_answered_on_fleets_of_many_sizes),
+        cmocka_unit_test(wide_job_is_answered_on_4000_machines),
         cmocka_unit_test(waiting_jobs_are_answered_while_leaders_end_in_series),
         cmocka_unit_test(dropped_responses_break_the_rule)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
