simulation: the cancellation before an outage is asked of a node that the store answers

stale_leader_reads_changes_before_it_answers_heartbeats needs a cancellation that is confirmed while the store refuses the leader. Its user asked a random node, twice in 1.9 s: with one chance in nine both were the refused leader, which rightly says 503. The test now asks the node after the leader; all its checks are as before.

--- a/tests/simulation/test_combined_store.c
+++ b/tests/simulation/test_combined_store.c
@@ -7,6 +7,7 @@
 
 #include <math.h>
 #include "base/log.h"
+#include "internal.h"
 #include "scenario.h"
 
 static void run_refusal_then_outage(unsigned long seed, const struct sim_size *size,
@@ -98,7 +99,8 @@
     uint64_t token = node->election.fencing_token;
     double max_staleness_s = rp_settings_max_staleness_s(node->settings);
     sim->nodes[leader].store_refusal_until = sim->now + 2;
-    sim->jobs[0].cancel_at = sim->now;
+    sim->jobs[0].cancel_requested = true;
+    sim_send_for_user(sim, 0, USER_CANCELS, (leader + 1) % sim->n_nodes);
     scenario_run(sim, 1.9);
     assert_true(sim->jobs[0].reported_cancelled);
     sim->store_outage_until = sim->now + 18;
