--- a/src/api/user_api.c
+++ b/src/api/user_api.c
@@ -173,10 +173,12 @@
     return true;
 }
 
-/* Whether this node leads and has the job in its table as one that has not ended. */
+/* Whether this node leads, and had the job in its table before the request came. A job that was
+ * accepted meanwhile may be missing from what the request has read. */
 static bool is_led_here(const struct user_request *request) {
     const struct rp_job *job = rp_jobs_find(request->api->cluster->jobs, request->id);
-    return job && job->state == RP_JOB_OPEN;
+    return job && job->state == RP_JOB_OPEN &&
+           rp_ts_cmp(job->first_seen_at, request->received_at) < 0;
 }
 
 /* ---- events ---- */
--- a/src/cluster/fleet.c
+++ b/src/cluster/fleet.c
@@ -32,10 +32,12 @@
                                                .settings = settings,
                                                .catalog = catalog};
     rp_provisioning_init(&fleet->provisioning, &fleet->context);
+    fleet->provisioning.withheld_answers = &fleet->withheld_answers;
     rp_release_init(&fleet->release, &fleet->context, &fleet->provisioning);
     rp_reconciliation_init(&fleet->reconciliation, &fleet->context, &fleet->provisioning,
                            &fleet->release);
     rp_failure_detector_init(&fleet->failure_detector, &fleet->context);
+    rp_withheld_answers_init(&fleet->withheld_answers, &fleet->context);
     fleet->timer = (struct rp_timer){.fn = on_tick, .arg = fleet};
 }
 
@@ -63,6 +65,7 @@
     rp_release_clear(&fleet->release);
     rp_failure_detector_clear(&fleet->failure_detector);
     rp_provisioning_clear(&fleet->provisioning);
+    rp_withheld_answers_clear(&fleet->withheld_answers);
 }
 
 void rp_fleet_close(struct rp_fleet *fleet) {
@@ -104,6 +107,7 @@
     if (rp_release_policy_apply(&fleet->failure_detector, &fleet->release, now))
         rp_fleet_context_notify(context);
     rp_release_step(&fleet->release);
+    rp_withheld_answers_step(&fleet->withheld_answers);
     rp_provisioning_step_all(&fleet->provisioning);
     rp_reconciliation_step(&fleet->reconciliation);
 }
@@ -139,6 +143,12 @@
     rp_provisioning_record_up(&fleet->provisioning, machine);
 }
 
+bool rp_fleet_may_answer(struct rp_fleet *fleet, struct rp_machine *machine) {
+    if (machine->withholding != RP_WITHHOLDING_NONE)
+        rp_withheld_answers_release(&fleet->withheld_answers, machine);
+    return machine->withholding == RP_WITHHOLDING_NONE;
+}
+
 void rp_fleet_adopt(struct rp_fleet *fleet, struct rp_machine *machine) {
     rp_scale_out_adopt(&fleet->provisioning, machine);
 }
--- a/src/cluster/fleet.h
+++ b/src/cluster/fleet.h
@@ -13,6 +13,7 @@
 #include "cluster/provisioning.h"
 #include "cluster/reconciliation.h"
 #include "cluster/release.h"
+#include "cluster/withheld_answers.h"
 
 /** The fleet and its parts. The owner sets the callbacks after rp_fleet_init. */
 struct rp_fleet {
@@ -21,6 +22,7 @@
     struct rp_release release;
     struct rp_reconciliation reconciliation;
     struct rp_failure_detector failure_detector;
+    struct rp_withheld_answers withheld_answers;
     struct rp_timer timer;
     /** Called when the loading of the provision records for a new term ends; `is_loaded` is false
      * if the loading failed. */
@@ -61,6 +63,9 @@
  * is written before any task is started on the machine, so that the next leader can determine which
  * machines cannot hold tasks. */
 void rp_fleet_record_up(struct rp_fleet *fleet, struct rp_machine *machine);
+/** Whether the machine may be answered. If not, the durable record that names it is written without
+ * it, and its worker reports again. */
+bool rp_fleet_may_answer(struct rp_fleet *fleet, struct rp_machine *machine);
 /** Creates a provision record for a machine that no record names. */
 void rp_fleet_adopt(struct rp_fleet *fleet, struct rp_machine *machine);
 /** Sets the machine's type, zone and spot flag as its worker reports them, unless a provision
--- a/src/cluster/fleet_context.h
+++ b/src/cluster/fleet_context.h
@@ -8,6 +8,7 @@
 #include "cloud/cloud_client.h"
 #include "cluster/cluster.h"
 #include "cluster/tombstones.h"
+#include "upgrade/format_upgrade.h"
 
 /** The shared data; all pointers are borrowed. */
 struct rp_fleet_context {
--- a/src/cluster/machine.c
+++ b/src/cluster/machine.c
@@ -48,6 +48,7 @@
 
 bool rp_machine_is_usable(const struct rp_machine *machine) {
     bool is_ready = machine->state == RP_MACHINE_UP && is_durable(machine) &&
+                    machine->withholding == RP_WITHHOLDING_NONE &&
                     machine->contact.fencing_token_seen && is_kind_known(machine);
     bool is_retained = !machine->spot_notice.received && is_healthy(machine);
     return is_ready && is_retained && !rp_machine_is_one_way_partitioned(machine) &&
--- a/src/cluster/machine.h
+++ b/src/cluster/machine.h
@@ -145,6 +145,14 @@
     bool listed_failed;       /* the cloud lists the machine as failed */
 };
 
+/** Whether the machine's heartbeats are answered (withheld_answers.h, whose module changes it). */
+enum rp_withholding {
+    RP_WITHHOLDING_NONE,      /* no record names the machine */
+    RP_WITHHOLDING_SUBMITTED, /* a record that names the machine is being written */
+    RP_WITHHOLDING_RECORDED,  /* a record names the machine */
+    RP_WITHHOLDING_ENDING     /* the machine reports, and the record has to be written without it */
+};
+
 /** A machine provisioned from the cloud, and the tasks that may be on it. Owned by the cluster
  * state; pointers to it are valid until rp_machine_remove. */
 struct rp_machine {
@@ -155,7 +163,10 @@
     bool spot;
     /* Lifecycle. */
     enum rp_machine_state state;
-    bool recorded;    /* a durable record names the machine */
+    enum rp_withholding withholding; /* unless NONE, it gets no answer and no start command */
+    bool is_omitted_from_record;     /* used only while records of withheld answers are written */
+    double withheld_until_wall_s; /* time of day in the records; 0: no record names the machine */
+    bool recorded;                /* a durable record names the machine */
     bool up_recorded; /* a durable record marks the machine as up; no task is started before */
     unsigned n_stale_records; /* records of other requests that name the machine, too, until they
                                  are written again: it is not marked as up before */
--- a/src/cluster/provision_loading.c
+++ b/src/cluster/provision_loading.c
@@ -72,6 +72,10 @@
 
 static void load_record(struct rp_provisioning *provisioning, const struct rp_kv_item *item) {
     const struct rp_fleet_context *context = provisioning->context;
+    if (strncmp(item->key, RP_KEY_WITHHELD, strlen(RP_KEY_WITHHELD)) == 0) {
+        rp_withheld_answers_on_record(provisioning->withheld_answers, item);
+        return;
+    }
     struct rp_provision_request *request =
         rp_provision_request_add(&provisioning->requests, item->key + strlen(RP_KEY_PROVISION));
     if (!rp_record_provision_read(item->value, &request->record)) {
@@ -132,6 +136,7 @@
         return;
     }
     end_requests_without_machines(provisioning);
+    rp_withheld_answers_on_loaded(provisioning->withheld_answers);
     call->on_loaded(call->arg, true);
 out:
     free(call);
@@ -149,5 +154,6 @@
                                .generation = provisioning->context->generation,
                                .on_loaded = on_loaded,
                                .arg = arg};
+    rp_withheld_answers_on_load_start(provisioning->withheld_answers);
     load_page(call, NULL);
 }
--- a/src/cluster/provisioning.h
+++ b/src/cluster/provisioning.h
@@ -12,12 +12,14 @@
 
 #include "cluster/capacity_refusal.h"
 #include "cluster/provision_request.h"
+#include "cluster/withheld_answers.h"
 
 /** The provision requests of a term, and the kinds of machines that the cloud has refused. */
 struct rp_provisioning {
     struct rp_fleet_context *context;
     struct rp_provision_requests requests;
     struct rp_capacity_refusals refusals;
+    struct rp_withheld_answers *withheld_answers; /* its record is read with the requests */
     size_t record_max_bytes; /* largest size of a record: the store's limit, or less after the store
                                 has refused a record */
     unsigned long n_provisioned; /* machines received from the cloud since the process started */
--- a/src/controller/node.c
+++ b/src/controller/node.c
@@ -223,6 +223,7 @@
         return -1;
     rp_fleet_init(&node->fleet, node->loop, &node->cloud, &node->store, &node->election,
                   &node->cluster, &node->jobs, settings, &node->catalog);
+    node->fleet.withheld_answers.upgrade = &node->upgrade;
     node->fleet.on_loaded = on_machines_loaded;
     node->fleet.on_loaded_arg = node;
     node->fleet.context.on_changed = on_change;
--- a/src/store/keys.h
+++ b/src/store/keys.h
@@ -38,6 +38,13 @@
 /** Prefix of the records of the jobs' phases, which nodes read that cannot reach the leader, by
  * number. They are attached to the leader's lease. */
 #define RP_KEY_PHASES RP_KEY_ROOT "phases/"
+/** Prefix of the records of machines whose heartbeats no leader answers
+ * (cluster/withheld_answers.h), by number. They have the prefix of the provision requests, so that
+ * a new leader reads them together. No request has such a name. They are written only in format 2,
+ * and never deleted. */
+#define RP_KEY_WITHHELD RP_KEY_ROOT "rental/!withheld/"
+/** Maximum number of these records, whose names are the digits from 0 on. */
+#define RP_WITHHELD_RECORDS_MAX 4
 /** Size in bytes of a buffer that can hold any key with its NUL. The store allows 200 bytes for a
  * key. */
 #define RP_KEY_MAX 200
--- a/src/store/records.c
+++ b/src/store/records.c
@@ -1,5 +1,6 @@
 #include "store/records.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -258,3 +259,42 @@
 const char *rp_record_provision_name(json_t *value, size_t index) {
     return json_string_value(json_array_get(json_object_get(value, "machines"), index));
 }
+
+/* ---- withheld answers ---- */
+
+json_t *rp_record_withheld(void) {
+    return json_pack("{s:{}}", "until");
+}
+
+/* The names of the machines with the same time are one text, separated by spaces. */
+void rp_record_withheld_add(json_t *record, const char *machine, double lease_end_s) {
+    json_t *groups = json_object_get(record, "until");
+    char time[32];
+    double rounded_s = ceil(lease_end_s / RP_WITHHELD_ROUNDING_S) * RP_WITHHELD_ROUNDING_S;
+    snprintf(time, sizeof time, "%.0f", rounded_s);
+    const char *names = json_string_value(json_object_get(groups, time));
+    json_object_set_new(groups, time,
+                        names ? json_sprintf("%s %s", names, machine) : json_string(machine));
+}
+
+bool rp_record_withheld_read(const json_t *value,
+                             void (*fn)(void *arg, const char *machine, double lease_end_s),
+                             void *arg) {
+    json_t *groups = json_object_get(value, "until");
+    const char *time;
+    json_t *names;
+    if (rp_record_format(value) > RP_FORMAT || !json_is_object(groups))
+        return false;
+    json_object_foreach(groups, time, names) {
+        char name[RP_TEXT_MAX];
+        const char *next = json_string_value(names);
+        if (!next)
+            return false;
+        for (size_t len = strcspn(next, " "); len > 0; len = strcspn(next, " ")) {
+            snprintf(name, sizeof name, "%.*s", (int)len, next);
+            fn(arg, name, strtod(time, NULL));
+            next += len + (next[len] == ' ');
+        }
+    }
+    return true;
+}
--- a/src/store/records.h
+++ b/src/store/records.h
@@ -112,4 +112,23 @@
  * tasks. */
 bool rp_record_provision_is_up(json_t *value, const char *name);
 
+/* ---- withheld answers ---- */
+
+/** Seconds to which the times in the records below RP_KEY_WITHHELD are rounded up, so that most
+ * machines share one. */
+#define RP_WITHHELD_ROUNDING_S 4
+/** Bytes of such a record besides the names, rounded up, and of a name besides its length. */
+#define RP_WITHHELD_FRAME_BYTES 192
+#define RP_WITHHELD_NAME_BYTES 1
+
+/** A record without machines. */
+json_t *rp_record_withheld(void);
+/** Adds a machine, and the time of day in seconds at which its lease has ended. */
+void rp_record_withheld_add(json_t *record, const char *machine, double lease_end_s);
+/** Calls `fn` with each machine and the time of day at which its lease has ended. Returns false if
+ * the record is malformed or of a later format. */
+bool rp_record_withheld_read(const json_t *value,
+                             void (*fn)(void *arg, const char *machine, double lease_end_s),
+                             void *arg);
+
 #endif
--- a/src/worker/workers.c
+++ b/src/worker/workers.c
@@ -64,6 +64,10 @@
         redirect_to_leader(workers, req);
         return;
     }
+    if (machine && !rp_fleet_may_answer(context->fleet, machine)) {
+        refuse(req, "answers to this machine are withheld for a moment");
+        return;
+    }
     if (machine)
         record_answer(context, machine, received_at);
     respond(req, 200,
