simulation: late copies of direct commands that were executed and answered

On another service a task ran twice and a cancelled one again: a late copy of a start command, carried out before, reached a machine once more after `forget`.

--- a/tests/simulation/faults.c
+++ b/tests/simulation/faults.c
@@ -8,7 +8,8 @@
 #include <string.h>
 
 #define HELD_DUPLICATES_MAX 200 /* copies of heartbeats held for the next leader */
-#define PAUSED_MAX 8            /* machines that one call of sim_cancel_running pauses */
+#define COMMAND_COPY_MIN_S 0.005
+#define PAUSED_MAX 8 /* machines that one call of sim_cancel_running pauses */
 
 /* ---- messages in transit ---- */
 
@@ -33,7 +34,7 @@
 /* Makes a transaction get no response. A copy is executed after `after_s` seconds, the original is
  * not. */
 static void lose_answer(struct sim *sim, struct sim_event *event, double after_s) {
-    sim_request_duplicate(sim, event, after_s);
+    (void)sim_request_duplicate(sim, event, after_s);
     event->unsent = true;
     event->due_at = event->deadline;
 }
@@ -77,6 +78,16 @@
     sim->n_dropped_answers += is_answer_dropped;
 }
 
+/* The delay has the same probability in each order of magnitude. */
+void sim_inject_command_fault(struct sim *sim, const struct sim_event *event) {
+    const struct sim_faults *faults = &sim->faults;
+    if (!sim_chance(sim, faults->command_copy))
+        return;
+    double after_s =
+        COMMAND_COPY_MIN_S * pow(faults->command_copy_max_s / COMMAND_COPY_MIN_S, sim_uniform(sim));
+    sim_request_duplicate(sim, event, after_s)->is_command_copy = true;
+}
+
 /* Holds a copy of the heartbeat, which reaches every node when the next leader begins to lead. */
 void sim_inject_heartbeat_fault(struct sim *sim, const struct sim_event *event) {
     if (!sim_chance(sim, sim->faults.held_duplicate) ||
@@ -236,6 +247,11 @@
 static void restart_machine(struct sim *sim, struct sim_worker *worker) {
     worker->n_tasks = 0;
     worker->incarnation++;
+    if (sim->are_restarted_workers_new) {
+        worker->incarnation = sim->first_number + 1;
+        worker->sequence_number = sim->first_number;
+        worker->fencing_token = 0;
+    }
     worker->renewed_at = sim->now;
     worker->heartbeat_in_flight = false;
     worker->heartbeat_number++;
--- a/tests/simulation/internal.h
+++ b/tests/simulation/internal.h
@@ -49,6 +49,7 @@
     /* The user's request was answered beside a node built from the sources of the previous version,
      * or by it. */
     bool is_beside_old_node;
+    bool is_command_copy; /* of a direct command that was executed before */
     /* A copy of a heartbeat that arrives at every node when the next leader begins to lead. */
     bool held_for_next_leader;
 };
@@ -97,7 +98,10 @@
 void sim_time_out(struct sim *sim, struct sim_event *event);
 void sim_on_heartbeat(struct sim *sim, const struct sim_event *event);
 /* Adds a copy of the request, due in `after_s` seconds, whose response no caller waits for. */
-void sim_request_duplicate(struct sim *sim, const struct sim_event *event, double after_s);
+struct sim_event *sim_request_duplicate(struct sim *sim, const struct sim_event *event,
+                                        double after_s);
+/* Draws whether a copy of the direct command, which was just executed, arrives later. */
+void sim_inject_command_fault(struct sim *sim, const struct sim_event *event);
 /* Passes a request of a worker or a user to a node, if the node runs. */
 void sim_node_receive(struct sim *sim, int index, const struct sim_call *call);
 
--- a/tests/simulation/network.c
+++ b/tests/simulation/network.c
@@ -199,7 +199,8 @@
     return event;
 }
 
-void sim_request_duplicate(struct sim *sim, const struct sim_event *event, double after_s) {
+struct sim_event *sim_request_duplicate(struct sim *sim, const struct sim_event *event,
+                                        double after_s) {
     struct sim_event *copy = sim_event_new(sim, EV_REQUEST, after_s);
     copy->node = event->node;
     copy->answered = true;
@@ -207,6 +208,7 @@
     strcpy(copy->method, event->method);
     copy->target = strdup(event->target);
     copy->body = event->body ? strdup(event->body) : NULL;
+    return copy;
 }
 
 /* Sends a node's request; `once`: the caller does not allow it to be executed twice. */
@@ -227,7 +229,7 @@
     event->unsent = is_dropped && once && sim_chance(sim, 0.5);
     if (!event->unsent && sim_chance(sim, sim->faults.duplicate) &&
         strcmp(outgoing->method, "GET") != 0 && strcmp(target, "/leases") != 0)
-        sim_request_duplicate(sim, event, 0.05 + 30 * sim_uniform(sim));
+        (void)sim_request_duplicate(sim, event, 0.05 + 30 * sim_uniform(sim));
     if (is_for_peer(event))
         event->due_at += sim->peer_delay_s;
     if (strcmp(outgoing->addr, "state") == 0 && !watch && sim_chance(sim, sim->faults.slow_store))
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -74,6 +74,9 @@
     double boot_failure;
     /* A machine is up within two seconds. */
     double fast_boot;
+    /* A copy of a direct command, which is executed and answered, arrives once more, from 5 ms to
+     * command_copy_max_s seconds later. */
+    double command_copy, command_copy_max_s;
     /* Some replica of a service exits without having been stopped. */
     double replica_exit_s;
 };
@@ -198,7 +201,7 @@
     uint64_t newest_arrived_number; /* of the newest heartbeat that has arrived */
     /* When a heartbeat last arrived late, and when that one was sent. */
     double late_report_at, late_report_sent_at;
-    bool changed;                   /* its state has changed since the last heartbeat */
+    bool changed;     /* its state has changed since the last heartbeat */
     double exited_at; /* when a task last exited and no task has started since; 0: none */
 };
 
@@ -303,16 +306,17 @@
     const char *machine_prefix; /* of the names of new machines; begins with "vm-" */
     double store_outage_until;
     double cloud_outage_until;
-    int delayed_worker;          /* 1 + the worker whose heartbeats are held back, 0: none */
-    double delayed_until;        /* when the heartbeats that were held back arrive */
-    int partitioned_zone;        /* 1 + the zone whose machines reach no node, 0: none */
-    int node_in_partition;       /* 1 + the node that is partitioned with that zone, 0: none */
-    int node_without_heartbeats; /* 1 + the node that no heartbeat reaches, 0: none */
-    double peer_partition_until; /* until then no node can connect to another */
-    double peer_delay_s;         /* requests between nodes take that much longer */
-    bool has_eager_users;        /* users poll twenty times as often as usual */
-    bool has_polls_at_all_nodes; /* users poll every second, at all nodes */
-    bool has_concurrent_reads;   /* users poll all nodes after each change of a job's state */
+    int delayed_worker;             /* 1 + the worker whose heartbeats are held back, 0: none */
+    double delayed_until;           /* when the heartbeats that were held back arrive */
+    int partitioned_zone;           /* 1 + the zone whose machines reach no node, 0: none */
+    int node_in_partition;          /* 1 + the node that is partitioned with that zone, 0: none */
+    int node_without_heartbeats;    /* 1 + the node that no heartbeat reaches, 0: none */
+    double peer_partition_until;    /* until then no node can connect to another */
+    double peer_delay_s;            /* requests between nodes take that much longer */
+    bool are_restarted_workers_new; /* a restarted worker begins with session 1 and no token */
+    bool has_eager_users;           /* users poll twenty times as often as usual */
+    bool has_polls_at_all_nodes;    /* users poll every second, at all nodes */
+    bool has_concurrent_reads;      /* users poll all nodes after each change of a job's state */
     uint64_t last_fencing_token;
     json_t *provisioned; /* request name -> response */
     int next_machine;
@@ -328,6 +332,9 @@
     /* Counted, so that tests can check that a fault occurred. */
     unsigned long n_delayed_writes, n_dropped_answers, n_held_duplicates,
         n_held_duplicates_delivered, n_leaders, n_concurrent_reads;
+    /* Copies of direct commands that a worker executed, and starts of such copies that the worker
+     * did not list any more. */
+    unsigned long n_command_copies, n_copied_starts;
     unsigned long n_invalid_requests, n_invalid_refused, n_cancelled_at_end,
         n_direct_to_unreachable;
     double start_after_cancel_s; /* longest time from a confirmed cancellation to a start command of
--- a/tests/simulation/workers.c
+++ b/tests/simulation/workers.c
@@ -126,9 +126,16 @@
     return NULL;
 }
 
+/* Counts a copy of a direct command that the worker executed; it had `n_tasks` before. */
+static void record_command_copy(struct sim *sim, const struct sim_worker *worker, int n_tasks) {
+    sim->n_command_copies++;
+    sim->n_copied_starts += (unsigned long)(worker->n_tasks - n_tasks);
+}
+
 int sim_worker_request(struct sim *sim, const struct sim_event *event, json_t *body, json_t **out) {
     struct sim_worker *worker = find_worker(sim, event->addr);
     int status = 200;
+    int n_tasks = worker ? worker->n_tasks : 0;
     if (!worker || !worker->alive || !worker->up || sim->now < worker->one_way_partition_until)
         return 0;
     sim->n_direct_to_unreachable += sim->now < worker->unreachable_until;
@@ -138,6 +145,10 @@
             status = 409;
         else
             execute_commands(sim, worker, body, true);
+        if (status == 200 && event->is_command_copy)
+            record_command_copy(sim, worker, n_tasks);
+        else if (status == 200 && !event->answered)
+            sim_inject_command_fault(sim, event);
     }
     *out = heartbeat_body(sim, worker);
     return status;
