--- a/src/store/records.h
+++ b/src/store/records.h
@@ -117,8 +117,9 @@
 /** Seconds to which the times in the records below RP_KEY_WITHHELD are rounded up, so that most
  * machines share one. */
 #define RP_WITHHELD_ROUNDING_S 4
-/** Bytes of such a record besides the names, rounded up, and of a name besides its length. */
+/** Bytes of such a record besides the names, rounded up. */
 #define RP_WITHHELD_FRAME_BYTES 192
+/** Bytes of a name in the record besides its length. */
 #define RP_WITHHELD_NAME_BYTES 1
 
 /** A record without machines. */
