--- a/src/jobs/job_finisher.c
+++ b/src/jobs/job_finisher.c
@@ -14,9 +14,10 @@
 };
 
 void rp_job_finisher_init(struct rp_job_finisher *finisher, const struct rp_jobs_context *context,
-                          struct rp_job_table *table, struct rp_garbage_collector *collector) {
-    *finisher =
-        (struct rp_job_finisher){.context = context, .table = table, .collector = collector};
+                          struct rp_job_table *table, struct rp_garbage_collector *collector,
+                          struct rp_deleted_records *deleted) {
+    *finisher = (struct rp_job_finisher){
+        .context = context, .table = table, .collector = collector, .deleted = deleted};
 }
 
 static void on_job_finished(struct rp_job_finisher *finisher, struct rp_job *job,
@@ -37,6 +38,7 @@
     if (!job || job->state != RP_JOB_FINISHING)
         goto out;
     if (result->outcome == RP_KV_OK) {
+        rp_deleted_records_add(finisher->deleted, request->job_id, rp_kv_result_revision(result));
         on_job_finished(finisher, job, &request->remaining);
         goto out;
     }
--- a/src/jobs/job_loader.c
+++ b/src/jobs/job_loader.c
@@ -108,10 +108,14 @@
     free(request);
 }
 
-static void read_open_item(struct rp_job_loader *loader, const struct rp_kv_item *item) {
+static void read_fence(struct rp_job_loader *loader, const struct rp_kv_item *item) {
     if (rp_job_watch_is_fence(item))
         rp_election_record_fence(loader->context->election, item->revision);
-    else if (!rp_job_table_find(loader->table, item->key + strlen(RP_KEY_OPEN)))
+}
+
+static void read_open_item(struct rp_job_loader *loader, const struct rp_kv_item *item) {
+    if (!rp_job_watch_is_fence(item) &&
+        !rp_job_table_find(loader->table, item->key + strlen(RP_KEY_OPEN)))
         rp_record_reader_read(loader->reader, item);
 }
 
@@ -128,10 +132,12 @@
     const char *last_key;
     if (!has_page(request, result))
         goto out;
-    bool has_next = read_page(loader, result, read_open_item, &last_key);
-    /* A fence on the page may have ended this term. */
+    /* A fence on the page may end this term: it is read before the jobs, which would otherwise be
+     * added to the emptied table. */
+    (void)read_page(loader, result, read_fence, &last_key);
     if (!rp_jobs_context_is_current(loader->context, request->generation))
         goto out;
+    bool has_next = read_page(loader, result, read_open_item, &last_key);
     rp_job_watch_on_list_page(loader->watch, rp_kv_result_revision(result),
                               rp_kv_result_has_more(result));
     if (has_next)
--- a/src/jobs/job_watch.c
+++ b/src/jobs/job_watch.c
@@ -30,9 +30,12 @@
 
 void rp_job_watch_init(struct rp_job_watch *watch, const struct rp_jobs_context *context,
                        struct rp_job_table *table, struct rp_record_reader *reader,
-                       struct rp_garbage_collector *collector) {
-    *watch = (struct rp_job_watch){
-        .context = context, .table = table, .reader = reader, .collector = collector};
+                       struct rp_garbage_collector *collector, struct rp_deleted_records *deleted) {
+    *watch = (struct rp_job_watch){.context = context,
+                                   .table = table,
+                                   .reader = reader,
+                                   .collector = collector,
+                                   .deleted = deleted};
 }
 
 void rp_job_watch_stop(struct rp_job_watch *watch) {
@@ -41,16 +44,18 @@
 }
 
 void rp_job_watch_on_load_start(struct rp_job_watch *watch) {
-    watch->revision = 0;
+    watch->revision = watch->load_revision = 0;
     watch->has_caught_up_with_load = true;
     watch->synced_at = rp_loop_now(watch->context->loop);
 }
 
 void rp_job_watch_on_list_page(struct rp_job_watch *watch, uint64_t revision, bool has_more) {
-    /* The watch starts at the first page's revision, so it returns, in order, all changes made
-     * between the pages. */
+    /* The watch starts at the first page's revision, so it returns all changes made between the
+     * pages. */
     if (watch->revision == 0)
         watch->revision = revision;
+    if (revision > watch->load_revision)
+        watch->load_revision = revision;
     /* A later page may contain jobs that were accepted after a failover from this leader, whose
      * fence was written too late for the first page: the watch returns the fence. */
     watch->should_return_at_once |= has_more;
@@ -110,27 +115,33 @@
     return strcmp(item->key, RP_KEY_FENCE) == 0;
 }
 
+static void collect_parts(struct rp_job_watch *watch, const char *job_id, const json_t *record) {
+    struct rp_stored_records parts = rp_stored_records_of_parts(rp_record_n_parts(record));
+    rp_garbage_collector_add(watch->collector, job_id, &parts);
+}
+
 static void on_record_written(struct rp_job_watch *watch, const char *job_id,
                               const struct rp_kv_item *event) {
     struct rp_job *job = rp_job_table_find(watch->table, job_id);
     struct rp_partial_record *partial = rp_record_reader_find(watch->reader, job_id);
-    if (job)
+    if (rp_deleted_records_has(watch->deleted, job_id, event->revision))
+        collect_parts(watch, job_id, event->value);
+    else if (job && event->revision > job->record_revision)
         job->record_revision = event->revision;
-    else if (partial)
+    else if (partial && event->revision > partial->revision)
         partial->revision = event->revision;
-    else
+    else if (!job && !partial)
         rp_record_reader_read(watch->reader, event);
 }
 
-static void on_record_deleted(struct rp_job_watch *watch, const char *job_id) {
+static void on_record_deleted(struct rp_job_watch *watch, const char *job_id, uint64_t revision) {
     struct rp_job *job = rp_job_table_find(watch->table, job_id);
     struct rp_partial_record *partial = rp_record_reader_find(watch->reader, job_id);
-    if (partial) {
-        struct rp_stored_records parts =
-            rp_stored_records_of_parts(rp_record_n_parts(partial->record));
+    rp_deleted_records_add(watch->deleted, job_id, revision);
+    if (partial && revision > partial->revision) {
         partial->is_cancelled = true;
-        rp_garbage_collector_add(watch->collector, job_id, &parts);
-    } else if (job && job->state != RP_JOB_CLOSED) {
+        collect_parts(watch, job_id, partial->record);
+    } else if (job && job->state != RP_JOB_CLOSED && revision > job->record_revision) {
         rp_info("job closed: job=%s reason=%s", job->spec.id,
                 job->state == RP_JOB_OPEN ? "cancelled" : "finished");
         /* A cancellation deletes only the job's own record, and a write of its progress that is in
@@ -161,7 +172,7 @@
         if (event.value)
             on_record_written(watch, job_id, &event);
         else
-            on_record_deleted(watch, job_id);
+            on_record_deleted(watch, job_id, event.revision);
     }
 }
 
@@ -174,13 +185,16 @@
     if (!rp_jobs_context_is_current(watch->context, generation))
         return;
     apply_events(watch, result, n_events);
-    watch->has_caught_up_with_load = true;
     rp_record_reader_read_next_parts(watch->reader);
     uint64_t revision = rp_kv_result_revision(result);
     if (revision > watch->revision)
         watch->revision = revision;
+    /* The response contains every change up to its revision, and the next one none of them. */
+    rp_deleted_records_remove_until(watch->deleted, watch->revision);
+    watch->has_caught_up_with_load |= watch->revision >= watch->load_revision;
     watch->synced_at = watch->sent_at;
-    watch->should_return_at_once = watch->is_isolated_from_store = false;
+    watch->should_return_at_once = !watch->has_caught_up_with_load;
+    watch->is_isolated_from_store = false;
     send_watch(watch);
     if (n_events > 0)
         watch->on_jobs_changed(watch->arg);
--- a/src/jobs/job_watch.h
+++ b/src/jobs/job_watch.h
@@ -1,14 +1,16 @@
 /** @file
  * Keeps the job table up to date after the load, by a watch of the open jobs, and measures how
  * stale the table may be. A cancellation that was confirmed to a user must stop the job's tasks, so
- * a leader that does not receive cancellations may neither start tasks nor answer workers. Called
- * by struct rp_jobs and the loader.
+ * a leader that does not receive cancellations may neither start tasks nor answer workers. Changes
+ * are applied by their revisions, since neither their order in a response nor their grouping in
+ * responses is specified. Called by struct rp_jobs and the loader.
  *
  * While the watch runs, a request is always in flight, except from a failure to the next tick.
  * Instants are on the steady clock. */
 #ifndef RP_JOBS_JOB_WATCH_H
 #define RP_JOBS_JOB_WATCH_H
 
+#include "jobs/deleted_records.h"
 #include "jobs/garbage_collector.h"
 #include "jobs/record_reader.h"
 
@@ -22,6 +24,8 @@
     struct rp_job_table *table;
     struct rp_record_reader *reader;
     struct rp_garbage_collector *collector;
+    struct rp_deleted_records *deleted;
+    uint64_t load_revision; /* of the newest list page of the load */
     uint64_t revision; /* the table contains all changes up to this store revision; 0: no list page
                           was received */
     struct timespec synced_at; /* when the latest answered watch request was sent; until one is
@@ -41,7 +45,7 @@
 /** Initializes a watch that does not run. All pointers are borrowed. */
 void rp_job_watch_init(struct rp_job_watch *watch, const struct rp_jobs_context *context,
                        struct rp_job_table *table, struct rp_record_reader *reader,
-                       struct rp_garbage_collector *collector);
+                       struct rp_garbage_collector *collector, struct rp_deleted_records *deleted);
 /** Stops the watch. The caller changes the context's generation, so that a response that arrives
  * later is ignored. */
 void rp_job_watch_stop(struct rp_job_watch *watch);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -53,11 +53,12 @@
     struct rp_garbage_collector *collector = &jobs->garbage_collector;
     rp_garbage_collector_init(collector, context);
     rp_record_reader_init(&jobs->record_reader, context, table);
-    rp_job_watch_init(&jobs->watch, context, table, &jobs->record_reader, collector);
+    rp_job_watch_init(&jobs->watch, context, table, &jobs->record_reader, collector,
+                      &jobs->deleted_records);
     rp_job_loader_init(&jobs->loader, context, table, &jobs->record_reader, &jobs->watch,
                        collector);
     rp_progress_writer_init(&jobs->progress_writer, context, table, collector);
-    rp_job_finisher_init(&jobs->finisher, context, table, collector);
+    rp_job_finisher_init(&jobs->finisher, context, table, collector, &jobs->deleted_records);
     table->on_job_closed = on_job_closed;
     jobs->record_reader.on_parts_result = on_parts_result;
     jobs->watch.on_jobs_changed = on_jobs_changed;
@@ -90,6 +91,7 @@
     rp_job_watch_stop(&jobs->watch);
     rp_garbage_collector_clear(&jobs->garbage_collector);
     rp_record_reader_clear(&jobs->record_reader);
+    rp_deleted_records_clear(&jobs->deleted_records);
     rp_job_table_clear(&jobs->table);
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -5,6 +5,7 @@
  * - job_table: the jobs by id and in order of acceptance, and their states
  * - job_loader, record_reader: the load at the beginning of a term
  * - job_watch: the changes after the load, and how stale the table may be
+ * - deleted_records: deletions of which an older write may still arrive
  * - progress_writer, job_finisher: durable storage of progress and terminal states
  * - garbage_collector: deletion of stored records that no job needs
  * - run_time_estimator: expected run times
@@ -34,6 +35,7 @@
     struct rp_job_loader loader;
     struct rp_job_watch watch;
     struct rp_garbage_collector garbage_collector;
+    struct rp_deleted_records deleted_records;
     struct rp_progress_writer progress_writer;
     struct rp_job_finisher finisher;
     struct rp_run_time_estimator run_time_estimator;
--- a/tests/simulation/internal.h
+++ b/tests/simulation/internal.h
@@ -52,6 +52,7 @@
     bool is_command_copy; /* of a direct command that was executed before */
     /* A copy of a heartbeat that arrives at every node when the next leader begins to lead. */
     bool held_for_next_leader;
+    double changes_due_at; /* when a watch's response with changes is due; 0: there are none yet */
 };
 
 enum sim_user_op { USER_SUBMITS, USER_POLLS, USER_CANCELS };
@@ -112,10 +113,11 @@
 /* Whether the store responds to all requests of the node with 503, in an outage or because it
  * refuses this node. */
 bool sim_store_is_refusing(const struct sim *sim, int node);
-/* The response to a watch: the changes after the revision in `target`. */
 /* The integer in a field of an object; 0 when it is absent or no integer from 0 to 2^64 - 1. */
 uint64_t sim_count_of(const json_t *object, const char *name);
-json_t *sim_store_changes(struct sim *sim, const char *target);
+/* The response to a watch: the changes after the revision in the event's target, in an order that
+ * is drawn; nodes of the previous version get them in the order of their revisions. */
+json_t *sim_store_changes(struct sim *sim, const struct sim_event *event);
 /* Expires leases; during an outage none expires. */
 void sim_store_step(struct sim *sim);
 void sim_store_free(struct sim *sim);
--- a/tests/simulation/network.c
+++ b/tests/simulation/network.c
@@ -10,6 +10,8 @@
 
 /* A watch without changes gets its response this long before its time-out. */
 #define WATCH_MARGIN_S 1.5
+/* Longest time that a watch's response with changes takes. */
+#define SLOW_WATCH_MAX_S 0.5
 /* Time until the next attempt to deliver a message that cannot be delivered now. */
 #define REDELIVERY_INTERVAL_S 0.1
 /* Time-out of a request, other than a watch, of a node that is a process. */
@@ -369,13 +371,21 @@
     return false;
 }
 
+/* The time that a watch's response takes once there are changes. */
+static double changes_delay_s(const struct sim *sim) {
+    bool is_slow = gsl_rng_uniform(sim->watch_rng) < sim->faults.slow_watch;
+    return is_slow ? SLOW_WATCH_MAX_S * gsl_rng_uniform(sim->watch_rng) : 0;
+}
+
 /* Responds to a watch if there are changes, the store refuses the node or the time-out is near;
  * defers the event by a step otherwise. */
 static bool answer_watch(struct sim *sim, struct sim_event *event) {
-    json_t *out =
-        sim_store_is_refusing(sim, event->node) ? NULL : sim_store_changes(sim, event->target);
+    json_t *out = sim_store_is_refusing(sim, event->node) ? NULL : sim_store_changes(sim, event);
     bool has_changes = out && json_array_size(json_object_get(out, "log"));
-    if (sim->now < event->deadline - WATCH_MARGIN_S && !has_changes) {
+    if (has_changes && event->changes_due_at <= 0)
+        event->changes_due_at = sim->now + changes_delay_s(sim);
+    bool is_due = has_changes && sim->now >= event->changes_due_at;
+    if (sim->now < event->deadline - WATCH_MARGIN_S && !is_due) {
         json_decref(out);
         return defer_until(event, sim->now + SIM_STEP_S);
     }
@@ -427,6 +437,10 @@
         return defer_until(event, event->deadline + SIM_STEP_S); /* the caller gets a time-out */
     if (is_watch(event->target))
         return answer_watch(sim, event);
+    bool is_for_cloud = strcmp(event->addr, "cloud") == 0;
+    if (is_for_cloud && is_awaited && !is_late && sim->is_cloud_silent &&
+        sim->now < sim->cloud_outage_until)
+        return defer_until(event, event->deadline + SIM_STEP_S);
     if (is_late && (event->unsent || sim_chance(sim, 0.5))) {
         sim_time_out(sim, event);
         return true;
@@ -438,7 +452,3 @@
     execute_request(sim, event);
     return true;
 }
-    bool is_for_cloud = strcmp(event->addr, "cloud") == 0;
-    if (is_for_cloud && is_awaited && !is_late && sim->is_cloud_silent &&
-        sim->now < sim->cloud_outage_until)
-        return defer_until(event, event->deadline + SIM_STEP_S);
--- a/tests/simulation/sim.h
+++ b/tests/simulation/sim.h
@@ -64,6 +64,8 @@
     double invalid_request_s;
     /* A response of the key-value store takes up to 1.4 s. */
     double slow_store;
+    /* A watch's response with changes takes up to 0.5 s: more changes come together. */
+    double slow_watch;
     /* A transaction gets no response and is executed 2 to 12 s later. */
     double delayed_write;
     /* A transaction is executed at once; only its response is lost. */
@@ -79,10 +81,10 @@
     double command_copy, command_copy_max_s;
     /* Some replica of a service exits without having been stopped. */
     double replica_exit_s;
-};
-
     /* The cloud has an outage of 5 to 125 s; in every second one it is silent. */
     double cloud_outage_s;
+};
+
 /* The size of the simulated cluster and the settings that depend on it. */
 struct sim_size {
     int n_workers; /* machines at one time, at most SIM_WORKERS */
@@ -281,6 +283,8 @@
 struct sim {
     const struct sim_remote *remote; /* NULL: the nodes are simulated, too */
     gsl_rng *rng;
+    gsl_rng *watch_rng;   /* for the responses to watches; the other draws do not depend on it */
+    size_t list_rows_max; /* items in one response to a list; 0: as many as requested */
     unsigned long steps;
     struct sim_size size;
     double now; /* simulated time in seconds */
--- a/tests/simulation/store.c
+++ b/tests/simulation/store.c
@@ -279,6 +279,8 @@
     size_t max_rows = sim_query_parameter(target, "limit=", limit, sizeof limit)
                           ? strtoul(limit, NULL, 10)
                           : 1000;
+    if (sim->list_rows_max > 0 && sim->list_rows_max < max_rows)
+        max_rows = sim->list_rows_max;
     for (int i = 0; i < sim->n_keys; i++)
         if (has_prefix(sim->keys[i].key, prefix) && !is_hidden_from(sim, node, sim->keys[i].key) &&
             (!is_continued || strcmp(sim->keys[i].key, from) > 0))
@@ -305,7 +307,22 @@
     return first;
 }
 
-json_t *sim_store_changes(struct sim *sim, const char *target) {
+/* The example in PROTOCOL lists the newest change first, and no sentence specifies an order: the
+ * newest or the oldest change is first, or any. */
+static void draw_order(const struct sim *sim, json_t *changes) {
+    size_t n = json_array_size(changes);
+    unsigned long order = gsl_rng_uniform_int(sim->watch_rng, 3);
+    for (size_t i = 0; order > 0 && i + 1 < n; i++) {
+        unsigned long n_left = (unsigned long)(n - i);
+        size_t other = order == 1 ? n - 1 : i + gsl_rng_uniform_int(sim->watch_rng, n_left);
+        json_t *change = json_incref(json_array_get(changes, other));
+        json_array_remove(changes, other);
+        json_array_insert_new(changes, i, change);
+    }
+}
+
+json_t *sim_store_changes(struct sim *sim, const struct sim_event *event) {
+    const char *target = event->target;
     char prefix[256];
     char from[32];
     json_t *changes = json_array();
@@ -319,6 +336,8 @@
         if (has_prefix(key, prefix))
             json_array_append(changes, change);
     }
+    if (!sim->nodes[event->node].old_node)
+        draw_order(sim, changes);
     return json_pack("{s:o,s:o}", "ledger_rev", rp_json_from_count(sim->revision), "log", changes);
 }
 
--- a/tests/simulation/users.c
+++ b/tests/simulation/users.c
@@ -57,8 +57,9 @@
         return;
     job->accepted_at = sim->now;
     job->accepted = true;
+    /* Until submit_at, the user waits before the submission is repeated. */
     if (job->cancel_on_acceptance)
-        job->cancel_at = sim->now;
+        job->cancel_at = job->submit_at = sim->now;
     sim_read_concurrently(sim, index);
 }
 
--- a/tests/simulation/world.c
+++ b/tests/simulation/world.c
@@ -90,6 +90,8 @@
         abort();
     sim->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(sim->rng, seed);
+    sim->watch_rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(sim->watch_rng, seed);
     sim->size = *size;
     sim->n_nodes = n_nodes;
     sim->remote = remote;
@@ -142,5 +144,6 @@
         free(sim->workers[i].tasks);
     json_decref(sim->provisioned);
     gsl_rng_free(sim->rng);
+    gsl_rng_free(sim->watch_rng);
     free(sim);
 }
