--- a/src/cluster/machine_lifecycle.c
+++ b/src/cluster/machine_lifecycle.c
@@ -110,6 +110,13 @@
                                                           : RP_MACHINE_LOST);
 }
 
+void rp_machine_extend_lease(const struct rp_cluster *cluster, struct rp_machine *machine,
+                             struct timespec from) {
+    struct timespec expiry = rp_ts_after(from, rp_settings_worker_lease_s(cluster->settings));
+    if (rp_ts_cmp(expiry, machine->contact.lease_expiry) > 0)
+        machine->contact.lease_expiry = expiry;
+}
+
 void rp_machine_on_heartbeat_proven(struct rp_cluster *cluster, struct rp_machine *machine) {
     rp_machine_set_state(cluster, machine,
                          rp_machine_is_releasing(machine) ? RP_MACHINE_RELEASING : RP_MACHINE_UP);
--- a/src/cluster/machine_lifecycle.h
+++ b/src/cluster/machine_lifecycle.h
@@ -23,6 +23,10 @@
 /** Called when the machine's lease has expired: drops all tasks of the machine, whether it is being
  * released or not. Whether and when the cloud deletes the machine makes no difference. */
 void rp_machine_on_lease_expired(struct rp_cluster *cluster, struct rp_machine *machine);
+/** Extends the lease that this leader reckons for the machine's worker to its full length from
+ * `from`, unless it lasts longer. */
+void rp_machine_extend_lease(const struct rp_cluster *cluster, struct rp_machine *machine,
+                             struct timespec from);
 /** Called when a heartbeat shows this leader's fencing token, so that its list of tasks is complete
  * and belongs to the current lease. A machine that is being released remains so. */
 void rp_machine_on_heartbeat_proven(struct rp_cluster *cluster, struct rp_machine *machine);
--- a/src/worker/heartbeat_reader.c
+++ b/src/worker/heartbeat_reader.c
@@ -115,6 +115,12 @@
     contact->unreachable = contact->fenced_without_heartbeat = false;
     rp_machine_set_fencing_token_seen(context->cluster, machine,
                                       heartbeat->fencing_token == context->election->fencing_token);
+    /* The worker's session began, and its last answered heartbeat was sent, before now: its lease
+     * lasts no longer than from now on. Without this, the lease that this leader reckons has ended
+     * already if the worker was answered before the machine was known, or has begun a new session,
+     * and tasks that are started before this heartbeat is answered would be taken for ended. */
+    if (contact->fencing_token_seen)
+        rp_machine_extend_lease(context->cluster, machine, contact->last_heartbeat_at);
 }
 
 /* Whether the heartbeat may have been held up on its way: a worker sends the next one in time, and
--- a/src/worker/workers.c
+++ b/src/worker/workers.c
@@ -46,10 +46,7 @@
                           struct timespec received_at) {
     struct rp_machine_contact *contact = &machine->contact;
     struct timespec now = rp_loop_now(context->loop);
-    struct timespec lease_expiry =
-        rp_ts_after(received_at, rp_settings_worker_lease_s(context->settings));
-    if (rp_ts_cmp(lease_expiry, contact->lease_expiry) > 0)
-        contact->lease_expiry = lease_expiry;
+    rp_machine_extend_lease(context->cluster, machine, received_at);
     contact->last_answer_at = now;
     if (rp_ts_is_zero(contact->first_answer_at))
         contact->first_answer_at = now;
--- a/tests/simulation/test_machines.c
+++ b/tests/simulation/test_machines.c
@@ -3,6 +3,8 @@
 #include "test.h"
 
 #include <math.h>
+#include <stdio.h>
+#include <string.h>
 #include "base/log.h"
 #include "scenario.h"
 
@@ -88,6 +90,50 @@
     sim_free(sim);
 }
 
+/* Sends the report of a new machine to the leader; `tick` is 1 for the first one, which shows no
+ * token. */
+static void report_new_machine(const struct sim *sim, struct scenario_answer *answer,
+                               const char *name, int tick) {
+    struct rp_node *node = scenario_leader(sim);
+    char body[256];
+    snprintf(body, sizeof body,
+             "{\"sheave\":\"%s\",\"address\":\"%s\",\"frame\":\"wide\",\"yard\":\"a\","
+             "\"loaners\":false,\"stint\":1,\"tick\":%d,\"warrant\":%lu,\"lifts\":[]}",
+             name, name, tick, tick > 1 ? (unsigned long)node->election.fencing_token : 0);
+    answer->req = (struct rp_request){.method = "POST",
+                                      .target = "/checkin",
+                                      .body = body,
+                                      .len = strlen(body),
+                                      .respond = scenario_keep_answer};
+    rp_node_client_request(node, &answer->req);
+}
+
+/* Fault: a worker that was answered before its machine was known showed the token with its next
+ * heartbeat. Until that one was answered, with the next cycle, the leader reckoned that its lease
+ * had ended: it took the machine for lost, and started the tasks elsewhere that it had just started
+ * there directly (ran_twice, seed 20090 of test_soak). */
+static void machines_answered_before_they_were_known_are_not_lost(void **state) {
+    enum { N_MACHINES = 30 };
+    static struct scenario_answer answers[N_MACHINES][2];
+    struct sim *sim = scenario_new(19, 3);
+    (void)state;
+    scenario_submit_arrays(sim, 8, 1, 1, 40, 1, 12);
+    sim_run(sim, 10);
+    for (int i = 0; i < N_MACHINES; i++) {
+        char name[RP_TEXT_MAX];
+        snprintf(name, sizeof name, "vm-new-%d", i);
+        for (int k = 0; k < 2; k++)
+            report_new_machine(sim, &answers[i][k], name, k + 1);
+        for (double end = sim->now + 0.6; sim->now < end;) {
+            sim_run(sim, 0.02);
+            const struct rp_machine *machine =
+                rp_machine_find(&scenario_leader(sim)->cluster, name);
+            assert_true(machine && machine->state != RP_MACHINE_LOST);
+        }
+    }
+    sim_free(sim);
+}
+
 /* Incident 4d52: because of jobs that fail on every machine, every third healthy machine on which
  * they were started was released, with its images, and all their tasks were started again and
  * again. */
@@ -258,6 +304,7 @@
         cmocka_unit_test(one_way_partitioned_machine_is_released),
         cmocka_unit_test(failover_completes_despite_one_way_partition),
         cmocka_unit_test(heartbeat_of_terminated_machine_adds_no_machine),
+        cmocka_unit_test(machines_answered_before_they_were_known_are_not_lost),
         cmocka_unit_test(failing_jobs_quarantine_no_machine),
         cmocka_unit_test(failing_machines_are_released),
         cmocka_unit_test(machines_that_never_boot_are_released),
