--- a/src/cloud/cloud_client.h
+++ b/src/cloud/cloud_client.h
@@ -12,6 +12,10 @@
 #include "base/net.h"
 #include "base/token_bucket.h"
 
+/** Status of the cloud's responses during an outage (PROTOCOL); a rental gets it for lack of
+ * capacity, too. */
+#define RP_CLOUD_STATUS_OUTAGE 503
+
 /** The queue in which a request waits. Routine requests are sent only while no urgent one waits. */
 enum rp_cloud_urgency {
     RP_CLOUD_URGENT,   /**< scaling out and in, the first catalog */
--- a/src/cluster/fleet.c
+++ b/src/cluster/fleet.c
@@ -60,6 +60,7 @@
 
 void rp_fleet_clear(struct rp_fleet *fleet) {
     fleet->context.generation++;
+    fleet->context.is_cloud_responding = false;
     rp_timer_cancel(fleet->context.loop, &fleet->timer);
     rp_reconciliation_clear(&fleet->reconciliation);
     rp_release_clear(&fleet->release);
@@ -134,6 +135,10 @@
     return rp_failure_detector_is_zone_silent(&fleet->failure_detector, zone);
 }
 
+bool rp_fleet_may_scale_in_idle(const struct rp_fleet *fleet) {
+    return fleet->context.is_cloud_responding;
+}
+
 bool rp_fleet_is_terminated(const struct rp_fleet *fleet, const char *machine) {
     return rp_tombstones_has(&fleet->context.tombstones, machine);
 }
--- a/src/cluster/fleet.h
+++ b/src/cluster/fleet.h
@@ -56,6 +56,10 @@
 /** Whether most machines of the zone are silent, so that the zone seems to be partitioned: machines
  * provisioned there cannot report. */
 bool rp_fleet_is_zone_silent(const struct rp_fleet *fleet, int zone);
+/** Whether machines may be returned for their price alone. While the cloud does not respond, it
+ * neither deletes machines nor provides new ones: a machine that is being released could take no
+ * task for as long as the outage lasts. */
+bool rp_fleet_may_scale_in_idle(const struct rp_fleet *fleet);
 /** Whether the cloud has confirmed the deletion of a machine of this name. */
 bool rp_fleet_is_terminated(const struct rp_fleet *fleet, const char *machine);
 
--- a/src/cluster/fleet_context.h
+++ b/src/cluster/fleet_context.h
@@ -25,11 +25,18 @@
      * discarded. */
     unsigned long generation;
     struct timespec led_since; /* when the loading of this term's records was complete */
+    bool is_cloud_responding;  /* the newest list or deletion of this term got a response other than
+                                  that of an outage; false until the first response */
     /** Called when machines or capacity have changed; NULL: no call. */
     void (*on_changed)(void *arg);
     void *on_changed_arg;
 };
 
+/** Records the status of the response to a list or a deletion; 0: none. */
+static inline void rp_fleet_context_on_cloud_status(struct rp_fleet_context *context, int status) {
+    context->is_cloud_responding = status != 0 && status != RP_CLOUD_STATUS_OUTAGE;
+}
+
 /** Notifies the fleet's owner that machines or capacity have changed. */
 static inline void rp_fleet_context_notify(const struct rp_fleet_context *context) {
     if (context->on_changed)
--- a/src/cluster/reconciliation.c
+++ b/src/cluster/reconciliation.c
@@ -157,6 +157,7 @@
     if (!is_current(call))
         goto out;
     reconciliation->list_in_flight = false;
+    rp_fleet_context_on_cloud_status(reconciliation->context, answer->status);
     if (answer->status != 200)
         goto out;
     struct rp_listed_machine *list =
--- a/src/cluster/release.c
+++ b/src/cluster/release.c
@@ -52,6 +52,7 @@
     if (call->generation != release->context->generation)
         goto out;
     release->delete_in_flight = false;
+    rp_fleet_context_on_cloud_status(release->context, answer->status);
     for (size_t i = 0; i < call->n_names; i++) {
         struct rp_machine *machine = rp_machine_find(release->context->cluster, call->names[i]);
         if (!machine)
--- a/src/cluster/release_policy.c
+++ b/src/cluster/release_policy.c
@@ -42,12 +42,13 @@
 }
 
 /* The reason why the machine is to be released once it is idle; NULL if it is to be kept. */
-static const char *reason_to_release_idle(const struct rp_machine *machine) {
+static const char *reason_to_release_idle(const struct policy *policy,
+                                          const struct rp_machine *machine) {
     if (machine->health.quarantined)
         return "quarantined";
     if (machine->spot_notice.received)
         return "spot_notice";
-    return machine->scale_in.draining ? "drained" : NULL;
+    return machine->scale_in.draining && policy->context->is_cloud_responding ? "drained" : NULL;
 }
 
 /* Releases the machine if the policy requires it, or makes it RP_MACHINE_LOST. Returns whether the
@@ -57,7 +58,7 @@
         rp_machine_on_lease_expired(policy->context->cluster, machine);
         return true;
     }
-    const char *reason = reason_to_release_idle(machine);
+    const char *reason = reason_to_release_idle(policy, machine);
     if (has_lost_answers_too_long(policy, machine))
         rp_release_machine(policy->release, machine, "answers_lost");
     else if (is_reclaimed(policy, machine))
--- a/src/scheduler/cycle.c
+++ b/src/scheduler/cycle.c
@@ -264,6 +264,7 @@
  * do not contain: preemption, reservations, draining and scale in. */
 static void apply_plan(struct rp_scheduler *scheduler, const struct rp_cycle_input *input,
                        struct rp_plan *plan, struct timespec now) {
+    bool may_scale_in = rp_fleet_may_scale_in_idle(scheduler->fleet);
     rp_preemption_prefer_image_holders(scheduler, input, plan, now);
     apply_starts(scheduler, input, plan);
     rp_service_controller_send_commands(scheduler->services);
@@ -275,9 +276,11 @@
         rp_quota_enforce_guarantees(scheduler, input, plan, now);
         rp_preemption_run(scheduler, input, plan, now);
         rp_gang_reservation_run(scheduler, input, plan, now);
-        rp_machine_draining_run(scheduler, input, now);
+        if (may_scale_in)
+            rp_machine_draining_run(scheduler, input, now);
     }
-    scale_in_idle(scheduler, input, plan, now);
+    if (may_scale_in)
+        scale_in_idle(scheduler, input, plan, now);
 }
 
 void rp_scheduler_run_cycle(struct rp_scheduler *scheduler) {
--- a/tests/simulation/test_cloud_outage.c
+++ b/tests/simulation/test_cloud_outage.c
@@ -204,6 +204,24 @@
     sim_free(sim);
 }
 
+/* Fault: machines that fell idle while the cloud was out were released, and could take no task
+ * until it had deleted them: a job waited beside idle machines that it fits. */
+static void idle_machines_take_work_while_cloud_is_out(void **state) {
+    (void)state;
+    for (int is_silent = 0; is_silent < 2; is_silent++) {
+        struct sim *sim = scenario_new(9152, 3);
+        sim_submit(sim, 1, "sweep", 8, 1, 30, 0);
+        int job = sim_submit(sim, SETTLED_S + OUTAGE_S - 30, "sweep", 8, 1, 20, 0);
+        sim_run(sim, SETTLED_S / 2);
+        sim->cloud_outage_until = sim->now + OUTAGE_S;
+        sim->is_cloud_silent = is_silent;
+        scenario_run(sim, OUTAGE_S - 5);
+        assert_true(sim->now > sim->jobs[job].accepted_at);
+        assert_int_equal(scenario_count_running_tasks(sim, job), 8);
+        scenario_end(sim);
+    }
+}
+
 static void submit_all_kinds(struct sim *sim, unsigned long seed) {
     scenario_submit_mixed_work(sim, seed);
     scenario_submit_services(sim, 3);
@@ -244,6 +262,7 @@
         cmocka_unit_test(gangs_are_started_again_while_cloud_is_out),
         cmocka_unit_test(late_report_of_ended_lease_counts_no_task_during_release),
         cmocka_unit_test(released_machine_without_answers_keeps_no_job_waiting),
+        cmocka_unit_test(idle_machines_take_work_while_cloud_is_out),
         cmocka_unit_test(long_cloud_outages_beside_machine_faults_break_no_rule)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     choose_test(argc, argv);
--- a/tests/simulation/test_turn_bounds.c
+++ b/tests/simulation/test_turn_bounds.c
@@ -77,6 +77,7 @@
     node->election.state = RP_ELECTION_HOLDING_KEY;
     node->election.fencing_token = TOKEN;
     node->scheduler.active = true;
+    node->fleet.context.is_cloud_responding = true; /* else no machine is drained */
     return fixture;
 }
 
