--- a/tests/loopback/soak.c
+++ b/tests/loopback/soak.c
@@ -17,7 +17,11 @@
 #define STEP_S 0.02
 #define STARTUP_S 12.0    /* before the first trouble */
 #define COMPLETION_S 85.0 /* after the troubles: longer than a job may be without an answer */
-#define DEFAULT_FAULTS_S 75.0
+#define DEFAULT_FAULTS_S 150.0
+#define TROUBLE_MIN_S 2.0
+#define TROUBLE_MAX_S 24.0
+#define LEADER_SERIES_MAX_S 40.0
+#define CLOUD_OUTAGE_MAX_S 125.0 /* longer than a job may be without an answer */
 #define JOB_INTERVAL_S 0.6
 #define JOBS_MAX 150
 #define TROUBLES_MAX 3 /* at the same time */
@@ -50,7 +54,7 @@
     MACHINES_DIE,
     MACHINES_RESTART,
     LATE_REPORTS,
-    CLOUD_OUTAGE,
+    CLOUD_OUTAGE, /* it refuses, or is silent; in half of the outages machines stop as it begins */
     CANCEL_RUNNING,
     TROUBLE_KINDS
 };
@@ -236,6 +240,14 @@
            kind == PEERS_REFUSE || kind == KILL_ALL;
 }
 
+static void begin_cloud_outage(struct soak *run, double until) {
+    struct sim *sim = run->cluster.sim;
+    sim->cloud_outage_until = until;
+    sim->is_cloud_silent = chance(run, 0.5);
+    if (chance(run, 0.5))
+        trouble_machines(run, MACHINES_DIE, until, 0.1);
+}
+
 /* Begins a trouble that lasts for `for_s`. Kinds that are not named here take effect in each step
  * or at each message. */
 static void begin_trouble(struct soak *run, enum trouble_kind kind, double for_s) {
@@ -254,7 +266,7 @@
     if (kind == STORE_OUTAGE)
         sim->store_outage_until = trouble->until;
     else if (kind == CLOUD_OUTAGE)
-        sim->cloud_outage_until = trouble->until;
+        begin_cloud_outage(run, trouble->until);
     else if (kind == CANCEL_RUNNING)
         sim_cancel_running(sim, 5, chance(run, 0.5) ? uniform(run, 2, 18) : 0);
     else if (kind == MACHINES_DIE)
@@ -269,6 +281,7 @@
     struct sim *sim = run->cluster.sim;
     sim->faults.late_duplicate = lasts(run, LATE_REPORTS) ? 0.2 : 0;
     sim->faults.fast_restart_s = lasts(run, MACHINES_RESTART) ? 0.5 : 0;
+    sim->faults.slow_watch = lasts(run, STORE_SLOW) ? 0.5 : 0.05;
     if (!lasts(run, PEERS_REFUSE))
         cluster_set_proxies_open(&run->cluster, true);
     if (lasts(run, LEADER_SERIES) && sim->now > run->next_kill_at &&
@@ -278,6 +291,12 @@
     }
 }
 
+static double trouble_max_s(enum trouble_kind kind) {
+    if (kind == LEADER_SERIES)
+        return LEADER_SERIES_MAX_S;
+    return kind == CLOUD_OUTAGE ? CLOUD_OUTAGE_MAX_S : TROUBLE_MAX_S;
+}
+
 static void begin_troubles(struct soak *run) {
     const struct sim *sim = run->cluster.sim;
     int n = 0;
@@ -288,7 +307,7 @@
     run->next_trouble_at = sim->now + uniform(run, 0.5, 6);
     enum trouble_kind kind = (enum trouble_kind)gsl_rng_uniform_int(run->rng, TROUBLE_KINDS);
     if (!lasts(run, kind))
-        begin_trouble(run, kind, uniform(run, 2, kind == LEADER_SERIES ? 40 : 24));
+        begin_trouble(run, kind, uniform(run, TROUBLE_MIN_S, trouble_max_s(kind)));
 }
 
 /* ---- users ---- */
--- a/tests/simulation/test_soak.c
+++ b/tests/simulation/test_soak.c
@@ -9,6 +9,9 @@
 #define FIRST_SEED 3000 /* unless RP_SOAK_SEED is set */
 #define N_SEEDS 6       /* unless RP_SOAK_SEEDS is set */
 #define FAULTS_S 100    /* simulated seconds with faults */
+#define LONG_OUTAGES_SEED 3100
+#define N_LONG_OUTAGES 4   /* unless RP_SOAK_SEEDS is set */
+#define LONG_OUTAGES_S 200 /* simulated seconds with outages of the cloud of up to 125 s */
 
 static const struct sim_faults all_faults = {.drop = 0.01,
                                              .delay = 0.01,
@@ -39,8 +42,8 @@
     sim_set_field(sim, job, "crew", json_string("guests"));
 }
 
-static void run_seed(unsigned long seed) {
-    struct sim *sim = sim_new(seed, &all_faults, SIM_NO_BREAKAGE, 3);
+static void run_seed(unsigned long seed, const struct sim_faults *faults, double faults_s) {
+    struct sim *sim = sim_new(seed, faults, SIM_NO_BREAKAGE, 3);
     scenario_submit_mixed_work(sim, seed);
     submit_small(sim, 4, "service", 700, 0.0005, 0, 180);
     submit_small(sim, 6, "sweep", 1000, 0.001, 8, 0);
@@ -48,7 +51,7 @@
     submit_small(sim, 9, "sweep", 900, 1e-9, 12, 40 + (double)(seed % 60));
     submit_small(sim, 12, "ensemble", 40, 0.0005, 10, 0);
     submit_small(sim, 30, "sweep", 500, 0.02, 6, 0);
-    sim_run(sim, FAULTS_S);
+    sim_run(sim, faults_s);
     sim_end_faults(sim);
     sim_run(sim, SCENARIO_COMPLETION_S);
     sim_check_served(sim);
@@ -64,19 +67,47 @@
     unsigned long n_seeds = number_from_environment("RP_SOAK_SEEDS", N_SEEDS);
     (void)state;
     for (unsigned long seed = first; seed < first + n_seeds; seed++)
-        run_seed(seed);
+        run_seed(seed, &all_faults, FAULTS_S);
+}
+
+/* Beside these faults the cloud is out for longer than a job may be without an answer, and the
+ * responses to watches are slow, so that their changes, whose order is drawn, come together. */
+static void run_long_outages(unsigned long seed) {
+    struct sim_faults faults = all_faults;
+    faults.cloud_outage_s = 60;
+    faults.slow_watch = 0.3;
+    run_seed(seed, &faults, LONG_OUTAGES_S);
+}
+
+static void long_cloud_outages_and_slow_watches_break_no_rule(void **state) {
+    unsigned long first = number_from_environment("RP_SOAK_SEED", LONG_OUTAGES_SEED);
+    unsigned long n_seeds = number_from_environment("RP_SOAK_SEEDS", N_LONG_OUTAGES);
+    (void)state;
+    for (unsigned long seed = first; seed < first + n_seeds; seed++)
+        run_long_outages(seed);
+}
+
+/* Seeds 20027 and 20151: leaders end one after the other, the store is out and one machine after
+ * another is silent, each for less than 90 s; together they leave a job without a known state for
+ * longer, and polls for jobs that have ended are answered. */
+static void jobs_stay_known_while_leaders_and_machines_fail_in_turn(void **state) {
+    (void)state;
+    run_long_outages(20027);
+    run_long_outages(20151);
 }
 
 /* Seed 5238: a direct command to which no connection was made, whose caller was paused at its
  * time-out, was executed all the same by the simulation, and a task ran twice. */
 static void unsent_command_of_a_paused_leader_is_not_executed(void **state) {
     (void)state;
-    run_seed(5238);
+    run_seed(5238, &all_faults, FAULTS_S);
 }
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(large_jobs_of_small_tasks_under_all_faults_break_no_rule),
+        cmocka_unit_test(long_cloud_outages_and_slow_watches_break_no_rule),
+        cmocka_unit_test(jobs_stay_known_while_leaders_and_machines_fail_in_turn),
         cmocka_unit_test(unsent_command_of_a_paused_leader_is_not_executed)};
     rp_log_setup("sim", rp_log_level_named(getenv("LOG_LEVEL")));
     choose_test(argc, argv);
