--- a/src/election/election.c
+++ b/src/election/election.c
@@ -442,8 +442,11 @@
     struct rp_kv_item item;
     if (election->state != RP_ELECTION_HOLDING_KEY)
         return;
-    bool is_free = result->outcome == RP_KV_NOT_FOUND;
-    bool is_of_other = rp_kv_result_item(result, &item) && item.revision != election->fencing_token;
+    /* A read that was sent in an earlier term may be answered in this one: only a newer state of
+     * the key than this node's claim shows that the key was lost. */
+    bool is_free = result->outcome == RP_KV_NOT_FOUND &&
+                   rp_kv_result_revision(result) > election->fencing_token;
+    bool is_of_other = rp_kv_result_item(result, &item) && item.revision > election->fencing_token;
     if (is_free || is_of_other)
         follow(election, 0);
 }
--- a/tests/unit/test_election.c
+++ b/tests/unit/test_election.c
@@ -281,6 +281,28 @@
     leading_node_close(&node);
 }
 
+/* Reads of the key that were sent in an earlier term are answered in the next one, with the key as
+ * it was before this node's claim. Taken for news, they ended the valid term. */
+static void late_reads_of_an_earlier_term_end_no_term(void **state) {
+    struct leading_node node;
+    (void)state;
+    leading_node_open(&node);
+    int first_read = node.requests.n_reads + node.requests.n_writes;
+    rp_election_verify(&node.election);
+    rp_election_verify(&node.election);
+    rp_election_verify(&node.election);
+    rp_election_resign(&node.election, 0);
+    rp_loop_advance(&node.loop, rp_ts(101.5));
+    answer_claim(&node.requests, "{\"lashing\":8}", "{\"ledger_rev\":9}");
+    answer_request(&node.requests, first_read, 200,
+                   "{\"path\":\"rp/main/leader\",\"v\":{\"node\":\"n0\"},\"key_rev\":5}");
+    answer_request(&node.requests, first_read + 1, 404, "{\"ledger_rev\":8}");
+    assert_int_equal(node.election.state, RP_ELECTION_HOLDING_KEY);
+    answer_request(&node.requests, first_read + 2, 404, "{\"ledger_rev\":10}");
+    assert_int_equal(node.election.state, RP_ELECTION_FOLLOWING);
+    leading_node_close(&node);
+}
+
 /* A node that gave up the leader's key reads its own name in the key until the revocation of its
  * lease is carried out. If the node claims the key again in that time, the other nodes have no
  * chance to lead. */
@@ -310,6 +332,7 @@
         cmocka_unit_test(token_bucket_keeps_rate_and_repays_large_take),
         cmocka_unit_test(stale_or_silent_leader_is_not_named),
         cmocka_unit_test(late_response_to_earlier_renewal_is_ignored),
+        cmocka_unit_test(late_reads_of_an_earlier_term_end_no_term),
         cmocka_unit_test(resigned_node_does_not_reclaim_key_during_backoff),
         cmocka_unit_test(waiting_queries_do_not_delay_submissions),
         cmocka_unit_test(submissions_above_even_share_are_not_refused)};
