--- a/tests/simulation/scenario.c
+++ b/tests/simulation/scenario.c
@@ -67,11 +67,40 @@
     sim_submit(sim, from + 40, "service", 4, 1, 0, from + 250);
 }
 
+void scenario_submit_for_polls_at_all_nodes(struct sim *sim, unsigned long seed) {
+    sim->has_polls_at_all_nodes = true;
+    scenario_submit_mixed_work(sim, seed);
+    scenario_submit_services(sim, 5);
+}
+
 void scenario_expect_no_violation(struct sim *sim, unsigned long seed) {
     if (sim->violation[0])
         fail_msg("seed %lu: expected no violation of a rule: %s", seed, sim->violation);
 }
 
+static void run_seed(const struct scenario_seeds *seeds, unsigned long seed) {
+    int n_nodes = seed % 2 ? 3 : 5;
+    if (seeds->n_nodes > 0)
+        n_nodes = seeds->n_nodes;
+    struct sim *sim = sim_new(seed, seeds->faults, SIM_NO_BREAKAGE, n_nodes);
+    seeds->prepare(sim, seed);
+    sim_run(sim, seeds->faults_s > 0 ? seeds->faults_s : SCENARIO_FAULTS_S);
+    sim_end_faults(sim);
+    sim_run(sim, seeds->completion_s > 0 ? seeds->completion_s : SCENARIO_COMPLETION_S);
+    sim_check_served(sim);
+    scenario_expect_no_violation(sim, seed);
+    if (!sim_all_terminal(sim))
+        fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
+    if (seeds->check)
+        seeds->check(sim);
+    sim_free(sim);
+}
+
+void scenario_run_seeds(const struct scenario_seeds *seeds) {
+    for (unsigned long seed = seeds->first; seed < seeds->first + seeds->n; seed++)
+        run_seed(seeds, seed);
+}
+
 void scenario_run(struct sim *sim, double seconds) {
     sim_run(sim, seconds);
     if (sim->violation[0])
--- a/tests/simulation/scenario.h
+++ b/tests/simulation/scenario.h
@@ -8,6 +8,8 @@
 
 /* Every accepted job must be terminal this many simulated seconds after the faults have ended. */
 #define SCENARIO_COMPLETION_S 250
+/* Simulated seconds with faults at random, unless a test says otherwise. */
+#define SCENARIO_FAULTS_S 150
 
 extern const struct sim_faults scenario_no_faults;
 /* Longer leases and higher request rates of the store than usual, as in the operators' settings. */
@@ -36,10 +38,24 @@
 void scenario_submit_long_work(struct sim *sim, double run_s);
 /* Submits arrays over a minute, and a gang. */
 void scenario_submit_array_stream(struct sim *sim, double from);
+/* Submits mixed work and services; users poll all nodes. */
+void scenario_submit_for_polls_at_all_nodes(struct sim *sim, unsigned long seed);
 /* Submits services that are cancelled two to four minutes later. */
 void scenario_submit_services(struct sim *sim, double from);
 /* Fails the test if a rule was broken. */
 void scenario_expect_no_violation(struct sim *sim, unsigned long seed);
+/* Runs with faults at random, one for each seed. After `faults_s` the faults end; no rule may be
+ * broken, and every accepted job must be terminal `completion_s` later. */
+struct scenario_seeds {
+    const struct sim_faults *faults;
+    unsigned long first, n;
+    int n_nodes;                                          /* 0: three or five, by turns */
+    double faults_s;                                      /* 0: SCENARIO_FAULTS_S */
+    double completion_s;                                  /* 0: SCENARIO_COMPLETION_S */
+    void (*prepare)(struct sim *sim, unsigned long seed); /* submits the jobs */
+    void (*check)(const struct sim *sim);                 /* at the end; NULL: nothing more */
+};
+void scenario_run_seeds(const struct scenario_seeds *seeds);
 /* Advances the simulation by `seconds`; fails the test if a rule is broken. */
 void scenario_run(struct sim *sim, double seconds);
 /* Ends all faults, advances the simulation by SCENARIO_COMPLETION_S, fails the test if a rule was
--- a/tests/simulation/test_cloud_outage.c
+++ b/tests/simulation/test_cloud_outage.c
@@ -222,11 +222,6 @@
     }
 }
 
-static void submit_all_kinds(struct sim *sim, unsigned long seed) {
-    scenario_submit_mixed_work(sim, seed);
-    scenario_submit_services(sim, 3);
-}
-
 /* Outages of the cloud of up to 125 s beside machines that stop, hang, are taken away, receive no
  * answers or reach no node, late reports, and ends of nodes. */
 static void long_cloud_outages_beside_machine_faults_break_no_rule(void **state) {
@@ -240,19 +235,11 @@
                                              .delay = 0.005,
                                              .crash_s = 60};
     (void)state;
-    for (unsigned long seed = RANDOM_SEED; seed < RANDOM_SEED + N_RANDOM; seed++) {
-        struct sim *sim = sim_new(seed, &faults, SIM_NO_BREAKAGE, seed % 2 ? 3 : 5);
-        sim->has_polls_at_all_nodes = true;
-        submit_all_kinds(sim, seed);
-        sim_run(sim, 200);
-        sim_end_faults(sim);
-        sim_run(sim, SCENARIO_COMPLETION_S);
-        sim_check_served(sim);
-        scenario_expect_no_violation(sim, seed);
-        if (!sim_all_terminal(sim))
-            fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
-        sim_free(sim);
-    }
+    scenario_run_seeds(&(struct scenario_seeds){.faults = &faults,
+                                                .first = RANDOM_SEED,
+                                                .n = N_RANDOM,
+                                                .faults_s = 200,
+                                                .prepare = scenario_submit_for_polls_at_all_nodes});
 }
 
 int main(int argc, char **argv) {
--- a/tests/simulation/test_job_state.c
+++ b/tests/simulation/test_job_state.c
@@ -144,19 +144,10 @@
                                              .drop = 0.002,
                                              .late_duplicate = 0.02};
     (void)state;
-    for (unsigned long seed = 8600; seed < 8616; seed++) {
-        struct sim *sim = sim_new(seed, &faults, SIM_NO_BREAKAGE, seed % 2 ? 3 : 5);
-        sim->has_polls_at_all_nodes = true;
-        scenario_submit_mixed_work(sim, seed);
-        scenario_submit_services(sim, 5);
-        sim_run(sim, 150);
-        sim_end_faults(sim);
-        sim_run(sim, SCENARIO_COMPLETION_S);
-        sim_check_served(sim);
-        scenario_expect_no_violation(sim, seed);
-        assert_true(sim_all_terminal(sim));
-        sim_free(sim);
-    }
+    scenario_run_seeds(&(struct scenario_seeds){.faults = &faults,
+                                                .first = 8600,
+                                                .n = 16,
+                                                .prepare = scenario_submit_for_polls_at_all_nodes});
 }
 
 int main(int argc, char **argv) {
--- a/tests/simulation/test_random_faults.c
+++ b/tests/simulation/test_random_faults.c
@@ -36,27 +36,18 @@
     sim_free(sim);
 }
 
-/* Runs one scenario with the faults for each of `n_seeds` seeds. Afterwards no more faults occur,
- * and every accepted job must end within COMPLETION_S seconds. */
+/* Runs one scenario with the faults for each of `n_seeds` seeds. */
 static void run_fault_scenarios_on(int n_nodes, const struct sim_faults *faults,
-                                   unsigned long first_seed, int n_seeds) {
-    for (unsigned long seed = first_seed; seed < first_seed + (unsigned long)n_seeds; seed++) {
-        struct sim *sim = sim_new(seed, faults, SIM_NO_BREAKAGE, n_nodes);
-        scenario_submit_mixed_work(sim, seed);
-        sim_run(sim, FAULTS_S);
-        sim_end_faults(sim);
-        sim_run(sim, COMPLETION_S);
-        sim_check_served(sim);
-        if (sim->violation[0])
-            fail_msg("seed %lu: expected no violation of a rule: %s", seed, sim->violation);
-        if (!sim_all_terminal(sim))
-            fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
-        sim_free(sim);
-    }
+                                   unsigned long first_seed, unsigned long n_seeds) {
+    scenario_run_seeds(&(struct scenario_seeds){.faults = faults,
+                                                .first = first_seed,
+                                                .n = n_seeds,
+                                                .n_nodes = n_nodes,
+                                                .prepare = scenario_submit_mixed_work});
 }
 
 static void run_fault_scenarios(const struct sim_faults *faults, unsigned long first_seed,
-                                int n_seeds) {
+                                unsigned long n_seeds) {
     run_fault_scenarios_on(3, faults, first_seed, n_seeds);
 }
 
--- a/tests/simulation/test_services.c
+++ b/tests/simulation/test_services.c
@@ -6,7 +6,6 @@
 #include "scenario.h"
 #include "store/records.h"
 
-#define FAULTS_S 150     /* simulated seconds with faults */
 #define COMPLETION_S 200 /* simulated seconds after the faults, within which all jobs must end */
 
 static double up_share(const struct sim *sim) {
@@ -211,21 +210,20 @@
     sim_free(sim);
 }
 
+static void submit_services_and_arrays(struct sim *sim, unsigned long seed) {
+    (void)seed;
+    scenario_submit_services(sim, 3);
+    scenario_submit_array_stream(sim, 0);
+}
+
 static void run_service_scenarios(int n_nodes, const struct sim_faults *faults,
-                                  unsigned long first_seed, int n_seeds) {
-    for (unsigned long seed = first_seed; seed < first_seed + (unsigned long)n_seeds; seed++) {
-        struct sim *sim = sim_new(seed, faults, SIM_NO_BREAKAGE, n_nodes);
-        scenario_submit_services(sim, 3);
-        scenario_submit_array_stream(sim, 0);
-        sim_run(sim, FAULTS_S);
-        sim_end_faults(sim);
-        sim_run(sim, COMPLETION_S);
-        sim_check_served(sim);
-        scenario_expect_no_violation(sim, seed);
-        if (!sim_all_terminal(sim))
-            fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
-        sim_free(sim);
-    }
+                                  unsigned long first_seed, unsigned long n_seeds) {
+    scenario_run_seeds(&(struct scenario_seeds){.faults = faults,
+                                                .first = first_seed,
+                                                .n = n_seeds,
+                                                .n_nodes = n_nodes,
+                                                .completion_s = COMPLETION_S,
+                                                .prepare = submit_services_and_arrays});
 }
 
 /* Direct commands are lost, late and repeated, also after a machine has begun another incarnation,
--- a/tests/simulation/test_soak.c
+++ b/tests/simulation/test_soak.c
@@ -42,8 +42,7 @@
     sim_set_field(sim, job, "crew", json_string("guests"));
 }
 
-static void run_seed(unsigned long seed, const struct sim_faults *faults, double faults_s) {
-    struct sim *sim = sim_new(seed, faults, SIM_NO_BREAKAGE, 3);
+static void submit_small_tasks(struct sim *sim, unsigned long seed) {
     scenario_submit_mixed_work(sim, seed);
     submit_small(sim, 4, "service", 700, 0.0005, 0, 180);
     submit_small(sim, 6, "sweep", 1000, 0.001, 8, 0);
@@ -51,40 +50,42 @@
     submit_small(sim, 9, "sweep", 900, 1e-9, 12, 40 + (double)(seed % 60));
     submit_small(sim, 12, "ensemble", 40, 0.0005, 10, 0);
     submit_small(sim, 30, "sweep", 500, 0.02, 6, 0);
-    sim_run(sim, faults_s);
-    sim_end_faults(sim);
-    sim_run(sim, SCENARIO_COMPLETION_S);
-    sim_check_served(sim);
-    scenario_expect_no_violation(sim, seed);
-    if (!sim_all_terminal(sim))
-        fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
+}
+
+static void expect_no_malformed_command(const struct sim *sim) {
     assert_int_equal(sim->n_malformed_commands, 0);
-    sim_free(sim);
+}
+
+static void run_seeds(const struct sim_faults *faults, double faults_s, unsigned long first,
+                      unsigned long n) {
+    scenario_run_seeds(&(struct scenario_seeds){.faults = faults,
+                                                .first = first,
+                                                .n = n,
+                                                .n_nodes = 3,
+                                                .faults_s = faults_s,
+                                                .prepare = submit_small_tasks,
+                                                .check = expect_no_malformed_command});
 }
 
 static void large_jobs_of_small_tasks_under_all_faults_break_no_rule(void **state) {
-    unsigned long first = number_from_environment("RP_SOAK_SEED", FIRST_SEED);
-    unsigned long n_seeds = number_from_environment("RP_SOAK_SEEDS", N_SEEDS);
     (void)state;
-    for (unsigned long seed = first; seed < first + n_seeds; seed++)
-        run_seed(seed, &all_faults, FAULTS_S);
+    run_seeds(&all_faults, FAULTS_S, number_from_environment("RP_SOAK_SEED", FIRST_SEED),
+              number_from_environment("RP_SOAK_SEEDS", N_SEEDS));
 }
 
 /* Beside these faults the cloud is out for longer than a job may be without an answer, and the
  * responses to watches are slow, so that their changes, whose order is drawn, come together. */
-static void run_long_outages(unsigned long seed) {
+static void run_long_outages(unsigned long first, unsigned long n) {
     struct sim_faults faults = all_faults;
     faults.cloud_outage_s = 60;
     faults.slow_watch = 0.3;
-    run_seed(seed, &faults, LONG_OUTAGES_S);
+    run_seeds(&faults, LONG_OUTAGES_S, first, n);
 }
 
 static void long_cloud_outages_and_slow_watches_break_no_rule(void **state) {
-    unsigned long first = number_from_environment("RP_SOAK_SEED", LONG_OUTAGES_SEED);
-    unsigned long n_seeds = number_from_environment("RP_SOAK_SEEDS", N_LONG_OUTAGES);
     (void)state;
-    for (unsigned long seed = first; seed < first + n_seeds; seed++)
-        run_long_outages(seed);
+    run_long_outages(number_from_environment("RP_SOAK_SEED", LONG_OUTAGES_SEED),
+                     number_from_environment("RP_SOAK_SEEDS", N_LONG_OUTAGES));
 }
 
 /* Seeds 20027 and 20151: leaders end one after the other, the store is out and one machine after
@@ -92,15 +93,15 @@
  * longer, and polls for jobs that have ended are answered. */
 static void jobs_stay_known_while_leaders_and_machines_fail_in_turn(void **state) {
     (void)state;
-    run_long_outages(20027);
-    run_long_outages(20151);
+    run_long_outages(20027, 1);
+    run_long_outages(20151, 1);
 }
 
 /* Seed 5238: a direct command to which no connection was made, whose caller was paused at its
  * time-out, was executed all the same by the simulation, and a task ran twice. */
 static void unsent_command_of_a_paused_leader_is_not_executed(void **state) {
     (void)state;
-    run_seed(5238, &all_faults, FAULTS_S);
+    run_seeds(&all_faults, FAULTS_S, 5238, 1);
 }
 
 int main(int argc, char **argv) {
--- a/tests/simulation/test_watch_order.c
+++ b/tests/simulation/test_watch_order.c
@@ -70,6 +70,14 @@
         run_jobs_cancelled_at_once(seed, 7);
 }
 
+/* Before the new format is active, no record has parts. */
+static void submit_beside_cancellations(struct sim *sim, unsigned long seed) {
+    sim->list_rows_max = SIM_NODES_MAX + seed % 4; /* the nodes' announcements on one page */
+    scenario_submit_mixed_work(sim, seed);
+    scenario_submit_services(sim, 3);
+    submit_jobs_cancelled_at_once(sim, SHORT_RUN_S, false);
+}
+
 /* All kinds of work under faults of nodes and store, with slow watches and lists of small pages. */
 static void changes_in_any_order_break_no_rule_under_faults(void **state) {
     static const struct sim_faults faults = {.slow_watch = 0.4,
@@ -82,22 +90,11 @@
                                              .store_outage_s = 80,
                                              .store_refusal_s = 60};
     (void)state;
-    for (unsigned long seed = RANDOM_SEED; seed < RANDOM_SEED + N_RANDOM; seed++) {
-        struct sim *sim = sim_new(seed, &faults, SIM_NO_BREAKAGE, seed % 2 ? 3 : 5);
-        sim->list_rows_max = SIM_NODES_MAX + seed % 4; /* the nodes' announcements on one page */
-        scenario_submit_mixed_work(sim, seed);
-        scenario_submit_services(sim, 3);
-        /* Before the new format is active, no record has parts. */
-        submit_jobs_cancelled_at_once(sim, SHORT_RUN_S, false);
-        sim_run(sim, 120);
-        sim_end_faults(sim);
-        sim_run(sim, SCENARIO_COMPLETION_S);
-        sim_check_served(sim);
-        scenario_expect_no_violation(sim, seed);
-        if (!sim_all_terminal(sim))
-            fail_msg("seed %lu: expected all jobs to be terminal at the end of the run", seed);
-        sim_free(sim);
-    }
+    scenario_run_seeds(&(struct scenario_seeds){.faults = &faults,
+                                                .first = RANDOM_SEED,
+                                                .n = N_RANDOM,
+                                                .faults_s = 120,
+                                                .prepare = submit_beside_cancellations});
 }
 
 int main(int argc, char **argv) {
--- a/tests/simulation/test_withheld_answers.c
+++ b/tests/simulation/test_withheld_answers.c
@@ -17,7 +17,6 @@
 #define N_WRITES 4        /* writes of the record that are interrupted, one in each run */
 #define N_RANDOM 12       /* runs with faults at random */
 #define RANDOM_SEED 8850
-#define RANDOM_FAULTS_S 150.0
 
 static struct sim *start(unsigned long seed) {
     struct sim *sim = scenario_new(seed, 3);
@@ -130,19 +129,10 @@
                                              .late_duplicate = 0.02,
                                              .peer_partition_s = 60};
     (void)state;
-    for (unsigned long seed = RANDOM_SEED; seed < RANDOM_SEED + N_RANDOM; seed++) {
-        struct sim *sim = sim_new(seed, &faults, SIM_NO_BREAKAGE, seed % 2 ? 3 : 5);
-        sim->has_polls_at_all_nodes = true;
-        scenario_submit_mixed_work(sim, seed);
-        scenario_submit_services(sim, 5);
-        sim_run(sim, RANDOM_FAULTS_S);
-        sim_end_faults(sim);
-        sim_run(sim, SCENARIO_COMPLETION_S);
-        sim_check_served(sim);
-        scenario_expect_no_violation(sim, seed);
-        assert_true(sim_all_terminal(sim));
-        sim_free(sim);
-    }
+    scenario_run_seeds(&(struct scenario_seeds){.faults = &faults,
+                                                .first = RANDOM_SEED,
+                                                .n = N_RANDOM,
+                                                .prepare = scenario_submit_for_polls_at_all_nodes});
 }
 
 int main(int argc, char **argv) {
